--- /dev/null
+++ b/cmd/mulberrybench/all_test.go
@@ -0,0 +1,22 @@
+package main
+import (
+ _ "github.com/zeromicro/go-zero/rest"
+ _ "github.com/zeromicro/go-zero/rest/httpc"
+ _ "github.com/zeromicro/go-zero/core/logx"
+ _ "github.com/zeromicro/go-zero/core/proc"
+ _ "github.com/zeromicro/go-zero/core/breaker"
+ _ "storj.io/drpc/drpcconn"
+ _ "storj.io/drpc/drpcserver"
+ _ "github.com/rcrowley/go-metrics"
+ _ "gopkg.in/ini.v1"
+ _ "github.com/urfave/cli/v3"
+ _ "github.com/phuslu/log"
+ _ "github.com/cockroachdb/errors"
+ _ "github.com/matryer/is"
+ _ "github.com/fxamacker/cbor/v2"
+ _ "github.com/rogpeppe/go-internal/testscript"
+ _ "pgregory.net/rapid"
+ _ "github.com/anishathalye/porcupine"
+ _ "github.com/HdrHistogram/hdrhistogram-go"
+ _ "github.com/cespare/xxhash/v2"
+)
--- /dev/null
+++ b/cmd/mulberrybench/main.go
@@ -0,0 +1,4 @@
+// Command mulberrybench is part of mulberrylink.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/mulberrycontrol/main.go
@@ -0,0 +1,4 @@
+// Command mulberrycontrol is part of mulberrylink.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/mulberryctl/main.go
@@ -0,0 +1,4 @@
+// Command mulberryctl is part of mulberrylink.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/mulberrynode/main.go
@@ -0,0 +1,4 @@
+// Command mulberrynode is part of mulberrylink.
+package main
+
+func main() {}
--- /dev/null
+++ b/transport/rpc/pool.go
@@ -0,0 +1,117 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+)
+
+// PoolConfig sets the limits of a Pool.
+type PoolConfig struct {
+	// DialTimeout bounds the opening of one connection.
+	DialTimeout time.Duration
+	// IdlePerAddr is the number of idle connections kept for one address.
+	IdlePerAddr int
+}
+
+// Pool keeps idle client connections. A connection runs one call at a time.
+type Pool struct {
+	cfg PoolConfig
+
+	mu     sync.Mutex
+	idle   map[string][]drpc.Conn
+	closed bool
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg PoolConfig) *Pool {
+	return &Pool{cfg: cfg, idle: make(map[string][]drpc.Conn)}
+}
+
+// Get returns an idle connection to addr, or a new one.
+func (p *Pool) Get(ctx context.Context, addr string) (drpc.Conn, error) {
+	if conn := p.takeIdle(addr); conn != nil {
+		return conn, nil
+	}
+	return p.Dial(ctx, addr)
+}
+
+// Dial returns a new connection to addr. Callers use it when an idle
+// connection may have gone silent.
+func (p *Pool) Dial(ctx context.Context, addr string) (drpc.Conn, error) {
+	d := net.Dialer{Timeout: p.cfg.DialTimeout}
+	tr, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", addr)
+	}
+	return drpcconn.NewWithOptions(tr, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Put keeps conn for later calls. It must only be called after the last call
+// on conn ended cleanly.
+func (p *Pool) Put(addr string, conn drpc.Conn) {
+	select {
+	case <-conn.Closed():
+		return
+	default:
+	}
+	p.mu.Lock()
+	keep := !p.closed && len(p.idle[addr]) < p.cfg.IdlePerAddr
+	if keep {
+		p.idle[addr] = append(p.idle[addr], conn)
+	}
+	p.mu.Unlock()
+	if !keep {
+		_ = conn.Close()
+	}
+}
+
+// Drop closes every idle connection to addr, because one of them was found
+// silent and the others share its path.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	conns := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	closeAll(conns)
+}
+
+// Close closes every idle connection. Connections in use are closed when they
+// are put back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	var conns []drpc.Conn
+	for _, cs := range p.idle {
+		conns = append(conns, cs...)
+	}
+	p.idle = make(map[string][]drpc.Conn)
+	p.mu.Unlock()
+	closeAll(conns)
+}
+
+func (p *Pool) takeIdle(addr string) drpc.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := len(p.idle[addr]); n > 0; n-- {
+		conn := p.idle[addr][n-1]
+		p.idle[addr] = p.idle[addr][:n-1]
+		select {
+		case <-conn.Closed():
+		default:
+			return conn
+		}
+	}
+	return nil
+}
+
+func closeAll(conns []drpc.Conn) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
