--- /dev/null
+++ b/state/settings/decode.go
@@ -0,0 +1,246 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Load reads the file at path into the struct that v points to.
+func Load(path string, v any) error {
+	f, err := Read(path)
+	if err != nil {
+		return err
+	}
+	return Decode(f, v)
+}
+
+// Decode stores f in the struct that v points to. All problems are reported
+// together, joined into one error.
+func Decode(f *File, v any) error {
+	d := decoder{file: f}
+	root := reflect.ValueOf(v).Elem()
+	known := sectionNames(root.Type())
+	for _, s := range f.Sections {
+		if _, ok := known[s.Name]; !ok {
+			d.fail(s.Line, s.Name, "", "unknown section"+Suggest(s.Name, keysOf(known)))
+		}
+	}
+	for i := range root.NumField() {
+		s, _ := f.Section(root.Type().Field(i).Tag.Get("ini"))
+		if s.Name == "" {
+			s.Name = root.Type().Field(i).Tag.Get("ini")
+		}
+		d.section(s, root.Field(i))
+	}
+	return errors.Join(d.problems...)
+}
+
+// DecodeSection stores the keys of s in the struct that v points to and
+// returns every problem it finds.
+func DecodeSection(file string, s Section, v any) []error {
+	d := decoder{file: &File{Name: file}}
+	d.section(s, reflect.ValueOf(v).Elem())
+	return d.problems
+}
+
+// Suggest returns a hint that names the known name nearest to name, or an
+// empty string when none is near.
+func Suggest(name string, known []string) string {
+	best, dist := "", len(name)/2+2
+	for _, k := range known {
+		if d := editDistance(name, k); d < dist {
+			best, dist = k, d
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; did you mean %q?", best)
+}
+
+type decoder struct {
+	file     *File
+	problems []error
+}
+
+func (d *decoder) fail(line int, section, key, text string) {
+	d.problems = append(d.problems, &KeyError{
+		File: d.file.Name, Line: line, Section: section, Key: key, Text: text,
+	})
+}
+
+func (d *decoder) section(s Section, v reflect.Value) {
+	t := v.Type()
+	known := sectionNames(t)
+	set := make(map[string]bool)
+	for _, k := range s.Keys {
+		i, ok := known[k.Name]
+		if !ok {
+			d.fail(k.Line, s.Name, k.Name, "unknown key"+Suggest(k.Name, keysOf(known)))
+			continue
+		}
+		set[k.Name] = true
+		if err := assign(v.Field(i), t.Field(i).Tag, k.Value); err != nil {
+			d.fail(k.Line, s.Name, k.Name, err.Error())
+		}
+	}
+	for i := range t.NumField() {
+		tag := t.Field(i).Tag
+		name := tag.Get("ini")
+		if name == "" || set[name] {
+			continue
+		}
+		if tag.Get("required") == "true" {
+			d.fail(s.Line, s.Name, name, "required key is missing")
+			continue
+		}
+		if def := tag.Get("default"); def != "" {
+			if err := assign(v.Field(i), tag, def); err != nil {
+				d.fail(s.Line, s.Name, name, err.Error())
+			}
+		}
+	}
+}
+
+func assign(v reflect.Value, tag reflect.StructTag, text string) error {
+	if v.Type() == reflect.TypeFor[time.Duration]() {
+		return assignDuration(v, tag, text)
+	}
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(text)
+		return oneOf(tag, text)
+	case reflect.Bool:
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return errors.Newf("%q is not true or false", text)
+		}
+		v.SetBool(b)
+	case reflect.Int:
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return errors.Newf("%q is not a whole number", text)
+		}
+		v.SetInt(n)
+		return inRange(tag, float64(n))
+	case reflect.Uint64:
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return errors.Newf("%q is not a whole number of at least 0", text)
+		}
+		v.SetUint(n)
+		return inRange(tag, float64(n))
+	case reflect.Float64:
+		x, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return errors.Newf("%q is not a number", text)
+		}
+		v.SetFloat(x)
+		return inRange(tag, x)
+	case reflect.Slice:
+		v.Set(reflect.ValueOf(List(text)))
+	default:
+		panic("settings: unsupported field type " + v.Type().String())
+	}
+	return nil
+}
+
+// List splits a comma separated value and drops empty items.
+func List(text string) []string {
+	var items []string
+	for item := range strings.SplitSeq(text, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+func assignDuration(v reflect.Value, tag reflect.StructTag, text string) error {
+	dur, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Newf("%q is not a duration such as 250ms or 2s", text)
+	}
+	v.SetInt(int64(dur))
+	if low := tag.Get("min"); low != "" {
+		if limit, _ := time.ParseDuration(low); dur < limit {
+			return errors.Newf("%s is below the minimum of %s", text, low)
+		}
+	}
+	if high := tag.Get("max"); high != "" {
+		if limit, _ := time.ParseDuration(high); dur > limit {
+			return errors.Newf("%s is above the maximum of %s", text, high)
+		}
+	}
+	return nil
+}
+
+func inRange(tag reflect.StructTag, x float64) error {
+	if low := tag.Get("min"); low != "" {
+		if limit, _ := strconv.ParseFloat(low, 64); x < limit {
+			return errors.Newf("%v is below the minimum of %s", x, low)
+		}
+	}
+	if high := tag.Get("max"); high != "" {
+		if limit, _ := strconv.ParseFloat(high, 64); x > limit {
+			return errors.Newf("%v is above the maximum of %s", x, high)
+		}
+	}
+	return nil
+}
+
+func oneOf(tag reflect.StructTag, text string) error {
+	allowed := List(tag.Get("oneof"))
+	if len(allowed) == 0 {
+		return nil
+	}
+	for _, a := range allowed {
+		if a == text {
+			return nil
+		}
+	}
+	return errors.Newf("%q is not one of %s%s", text, strings.Join(allowed, ", "), Suggest(text, allowed))
+}
+
+func sectionNames(t reflect.Type) map[string]int {
+	names := make(map[string]int)
+	for i := range t.NumField() {
+		if name := t.Field(i).Tag.Get("ini"); name != "" {
+			names[name] = i
+		}
+	}
+	return names
+}
+
+func keysOf(m map[string]int) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diag := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			next := min(row[j]+1, row[j-1]+1, diag+cost)
+			diag, row[j] = row[j], next
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/state/settings/file.go
@@ -0,0 +1,196 @@
+// Package settings reads INI files strictly: every error names the file, the
+// line, the section and the key, and unknown names are refused with the
+// nearest known one.
+//
+// # Usage
+//
+// A program describes its settings as a struct of sections and loads them:
+//
+//	type nodeSettings struct {
+//		Listen struct {
+//			Front string        `ini:"front" required:"true"`
+//			Idle  time.Duration `ini:"idle" default:"30s" min:"1s" max:"1h"`
+//		} `ini:"listen"`
+//	}
+//	var cfg nodeSettings
+//	err := settings.Load("node.ini", &cfg)
+//
+// Fields may be string, bool, int, uint64, float64, time.Duration or []string
+// (comma separated). Parse gives the raw sections to packages whose section
+// names are not fixed.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Key is one key of a section.
+type Key struct {
+	Name  string
+	Value string
+	Line  int
+}
+
+// Section is one section of a file.
+type Section struct {
+	Name string
+	Line int
+	Keys []Key
+}
+
+// File is a parsed settings file.
+type File struct {
+	Name     string
+	Sections []Section
+}
+
+// KeyError is one error in a settings file.
+type KeyError struct {
+	File    string
+	Line    int
+	Section string
+	Key     string
+	Text    string
+}
+
+// Error implements error.
+func (p *KeyError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s:%d:", p.File, p.Line)
+	if p.Section != "" {
+		fmt.Fprintf(&b, " section %q", p.Section)
+	}
+	if p.Key != "" {
+		fmt.Fprintf(&b, " key %q", p.Key)
+	}
+	return strings.TrimSuffix(b.String(), ":") + ": " + p.Text
+}
+
+// Read parses the file at path.
+func Read(path string) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse parses data; name is used in errors. Sections and keys that stand
+// twice are errors, because the later one would silently win.
+func Parse(name string, data []byte) (*File, error) {
+	opts := ini.LoadOptions{
+		AllowNonUniqueSections:  true,
+		AllowShadows:            true,
+		KeyValueDelimiters:      "=",
+		SkipUnrecognizableLines: false,
+	}
+	src, err := ini.LoadSources(opts, data)
+	if err != nil {
+		return nil, &KeyError{File: name, Line: badLine(data), Text: err.Error()}
+	}
+	f := &File{Name: name}
+	pos := scan(data)
+	if err := f.fill(src, pos); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Section returns the named section.
+func (f *File) Section(name string) (Section, bool) {
+	for _, s := range f.Sections {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Section{}, false
+}
+
+func (f *File) fill(src *ini.File, pos []position) error {
+	seen := make(map[string]int)
+	n := 0
+	for _, s := range src.Sections() {
+		if s.Name() == ini.DefaultSection {
+			if len(s.Keys()) > 0 {
+				line := lineOf(pos, 0, s.Keys()[0].Name())
+				return &KeyError{File: f.Name, Line: line, Key: s.Keys()[0].Name(), Text: "key stands outside a section"}
+			}
+			continue
+		}
+		n++
+		line := lineOf(pos, n, "")
+		if first, ok := seen[s.Name()]; ok {
+			return &KeyError{File: f.Name, Line: line, Section: s.Name(), Text: fmt.Sprintf("section stands twice, first on line %d", first)}
+		}
+		seen[s.Name()] = line
+		sec := Section{Name: s.Name(), Line: line}
+		for _, k := range s.Keys() {
+			kl := lineOf(pos, n, k.Name())
+			if len(k.ValueWithShadows()) > 1 {
+				return &KeyError{File: f.Name, Line: kl, Section: s.Name(), Key: k.Name(), Text: "key stands twice"}
+			}
+			sec.Keys = append(sec.Keys, Key{Name: k.Name(), Value: k.String(), Line: kl})
+		}
+		f.Sections = append(f.Sections, sec)
+	}
+	return nil
+}
+
+// position is where a section (empty key) or a key stands. The parser of the
+// ini package does not keep line numbers.
+type position struct {
+	section int
+	key     string
+	line    int
+}
+
+func scan(data []byte) []position {
+	var pos []position
+	section := 0
+	for i, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			section++
+			pos = append(pos, position{section: section, line: i + 1})
+			continue
+		}
+		if name, _, ok := strings.Cut(line, "="); ok && !isComment(line) {
+			pos = append(pos, position{section: section, key: strings.TrimSpace(name), line: i + 1})
+		}
+	}
+	return pos
+}
+
+func lineOf(pos []position, section int, key string) int {
+	for _, p := range pos {
+		if p.section == section && p.key == key {
+			return p.line
+		}
+	}
+	return 0
+}
+
+func badLine(data []byte) int {
+	for i, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "" || isComment(line):
+		case strings.HasPrefix(line, "["):
+			if !strings.Contains(line, "]") {
+				return i + 1
+			}
+		case !strings.Contains(line, "="):
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func isComment(line string) bool {
+	return strings.HasPrefix(line, ";") || strings.HasPrefix(line, "#")
+}
