--- /dev/null
+++ b/coordination/quorum/host_test.go
@@ -0,0 +1,315 @@
+package quorum
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/mulberrylink/mulberrylink/state/storage"
+	"github.com/mulberrylink/mulberrylink/state/storage/storagetest"
+)
+
+// tally is a machine that keeps the list of what was applied.
+type tally struct {
+	mu    sync.Mutex
+	items []string
+}
+
+func (c *tally) Apply(_ uint64, data []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.items = append(c.items, string(data))
+	return binary.AppendUvarint(nil, uint64(len(c.items)))
+}
+
+func (c *tally) Snapshot() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var b []byte
+	for _, s := range c.items {
+		b = append(binary.AppendUvarint(b, uint64(len(s))), s...)
+	}
+	return b
+}
+
+func (c *tally) Restore(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.items = nil
+	for len(data) > 0 {
+		n, w := binary.Uvarint(data)
+		if w <= 0 || uint64(len(data)-w) < n {
+			return errors.New("tally snapshot is cut short")
+		}
+		c.items = append(c.items, string(data[w:w+int(n)]))
+		data = data[w+int(n):]
+	}
+	return nil
+}
+
+func (c *tally) list() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.items...)
+}
+
+// network delivers messages between hosts of one process.
+type network struct {
+	mu    sync.Mutex
+	hosts map[string]*Host
+	cut   map[string]bool
+}
+
+func (n *network) Send(m Message) {
+	n.mu.Lock()
+	h := n.hosts[m.Dest]
+	if n.cut[m.Dest] || n.cut[m.Addr] {
+		h = nil
+	}
+	n.mu.Unlock()
+	if h != nil {
+		h.Receive(m)
+	}
+}
+
+func (n *network) setCut(addr string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[addr] = cut
+}
+
+type testGroup struct {
+	t     testing.TB
+	dir   string
+	net   *network
+	hosts map[string]*Host
+	state map[string]*tally
+	fs    map[string]storage.FS
+	every uint64 // SnapshotEntries
+}
+
+func newGroup(t testing.TB, n int) *testGroup {
+	g := &testGroup{
+		t: t, dir: t.TempDir(), hosts: map[string]*Host{}, state: map[string]*tally{}, fs: map[string]storage.FS{},
+		net: &network{hosts: map[string]*Host{}, cut: map[string]bool{}},
+	}
+	var members []Member
+	for i := range n {
+		members = append(members, Member{ID: uint64(i + 1), Addr: fmt.Sprintf("h%d", i+1)})
+	}
+	for _, m := range members {
+		cfg := g.config(m.Addr)
+		cfg.ID = m.ID
+		if err := Format(cfg, members); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, m := range members {
+		g.open(m.Addr)
+	}
+	t.Cleanup(func() {
+		for addr := range g.hosts {
+			g.kill(addr)
+		}
+	})
+	return g
+}
+
+func (g *testGroup) config(addr string) Config {
+	return Config{
+		Dir: filepath.Join(g.dir, addr), FS: g.fs[addr], Addr: addr,
+		Machine: &tally{}, Sender: g.net, SnapshotEntries: g.every,
+	}
+}
+
+func (g *testGroup) open(addr string) *Host {
+	g.t.Helper()
+	cfg := g.config(addr)
+	h, err := Open(cfg)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.hosts[addr], g.state[addr] = h, cfg.Machine.(*tally)
+	g.net.mu.Lock()
+	g.net.hosts[addr] = h
+	g.net.mu.Unlock()
+	return h
+}
+
+// kill ends a host without a transfer of leadership.
+func (g *testGroup) kill(addr string) {
+	g.net.setCut(addr, true)
+	h := g.hosts[addr]
+	delete(g.hosts, addr)
+	h.stopOnce.Do(func() { close(h.quit) })
+	<-h.stopped
+	_ = errors.CombineErrors(h.store.Close(), h.release())
+	g.net.setCut(addr, false)
+}
+
+func (g *testGroup) leader() *Host {
+	g.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, h := range g.hosts {
+			if st := h.Status(); st.Role == Leader && h.Confirm(timeout(g.t, time.Second)) {
+				return h
+			}
+		}
+	}
+	g.t.Fatal("no leader after 10 s")
+	return nil
+}
+
+func (g *testGroup) propose(s string) {
+	g.t.Helper()
+	for range 20 {
+		if _, st := g.leader().Propose(timeout(g.t, 5*time.Second), []byte(s)); st == Committed {
+			return
+		}
+	}
+	g.t.Fatalf("%q was not committed", s)
+}
+
+func timeout(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against members that apply different sequences, a restart that loses
+// committed entries, and a follower whose confirmed read is old.
+func TestHostsAgreeAcrossRestart(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	for i := range 50 {
+		g.propose(fmt.Sprint("a", i))
+	}
+	first := g.leader().cfg.Addr
+	g.kill(first)
+	for i := range 50 {
+		g.propose(fmt.Sprint("b", i))
+	}
+	g.open(first)
+	for _, h := range g.hosts {
+		is.True(h.Confirm(timeout(t, 5*time.Second)))
+		is.Equal(len(g.state[h.cfg.Addr].list()), 100)
+	}
+	is.Equal(g.state["h1"].list(), g.state["h2"].list())
+	is.Equal(g.state["h1"].list(), g.state["h3"].list())
+}
+
+// Guards against a replaced host that gets a vote without the log, and against
+// loss of data when a second member fails right after the repair.
+func TestReplaceLostDiskThenLoseAnother(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	g.every = 20 // the new member needs a snapshot
+	for _, addr := range []string{"h1", "h2", "h3"} {
+		g.kill(addr)
+		g.open(addr)
+	}
+	for i := range 2000 {
+		if i%100 == 0 {
+			g.propose(fmt.Sprint("a", i))
+		} else {
+			go g.hosts["h1"].Propose(timeout(t, time.Second), []byte("x"))
+		}
+	}
+	lost := g.leader()
+	g.kill(lost.cfg.Addr)
+	blank := g.open("h4")
+	is.True(!blank.Status().Voting)
+	l := g.leader()
+	is.NoErr(l.AddMember(timeout(t, 10*time.Second), Member{ID: blank.Status().ID, Addr: "h4"}))
+	is.NoErr(l.RemoveMember(timeout(t, 10*time.Second), lost.Status().ID))
+	for addr := range g.hosts {
+		if addr != "h4" {
+			g.kill(addr)
+			break
+		}
+	}
+	g.propose("after")
+	is.True(blank.Confirm(timeout(t, 5*time.Second)))
+	list := g.state["h4"].list()
+	is.Equal(list[len(list)-1], "after")
+}
+
+// Guards against a member that goes on voting or leading after its disk failed,
+// and against a status that hides it.
+func TestDiskErrorStopsMember(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	disks := map[string]*storagetest.Disk{}
+	for i, addr := range []string{"h1", "h2", "h3"} {
+		g.kill(addr)
+		disks[addr] = storagetest.New(uint64(i))
+		g.fs[addr] = disks[addr]
+		cfg := g.config(addr)
+		cfg.ID = uint64(i + 1)
+		is.NoErr(Format(cfg, []Member{{ID: 1, Addr: "h1"}, {ID: 2, Addr: "h2"}, {ID: 3, Addr: "h3"}}))
+		g.open(addr)
+	}
+	g.propose("a")
+	l := g.leader()
+	is.NoErr(l.call(timeout(t, time.Second), func() {
+		// The sync goroutine is idle while the control goroutine is here.
+		disks[l.cfg.Addr].Space = 0
+	}))
+	_, st := l.Propose(timeout(t, 5*time.Second), []byte("b"))
+	is.True(st == Indeterminate || st == Committed)
+	for end := time.Now().Add(5 * time.Second); l.Status().Err == nil && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(l.Status().Err != nil)
+	is.True(!l.Status().Voting)
+	_, _, self := l.Leader()
+	is.True(!self)
+	_, st = l.Propose(timeout(t, time.Second), []byte("c"))
+	is.Equal(st, Unavailable)
+	g.propose("d")
+	is.True(g.leader() != l)
+}
+
+// Guards against a leader in the minority that goes on as leader for longer
+// than an election timeout, and against a proposal there that claims success.
+func TestCutLeaderStepsDown(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	g.propose("a")
+	l := g.leader()
+	g.net.setCut(l.cfg.Addr, true)
+	_, st := l.Propose(timeout(t, 5*time.Second), []byte("lost"))
+	is.Equal(st, Indeterminate)
+	_, _, self := l.Leader()
+	is.True(!self)
+	is.True(!l.Confirm(timeout(t, 100*time.Millisecond)))
+	_, st = l.Propose(timeout(t, time.Second), []byte("b"))
+	is.Equal(st, Unavailable)
+	g.net.setCut(l.cfg.Addr, false)
+	g.propose("c")
+}
+
+// Guards against a graceful stop that leaves the group without a leader for an
+// election timeout, and against Format on a directory in use.
+func TestStopTransfersLeadership(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	g.propose("a")
+	l := g.leader()
+	delete(g.hosts, l.cfg.Addr)
+	start := time.Now()
+	is.NoErr(l.Stop(timeout(t, 5*time.Second)))
+	g.propose("b")
+	is.True(time.Since(start) < defaultElectionMin)
+	cfg := g.config(l.cfg.Addr)
+	cfg.ID = l.Status().ID
+	err := Format(cfg, l.Status().Members)
+	is.True(errors.Is(err, storage.ErrExists))
+}
--- /dev/null
+++ b/coordination/quorum/members.go
@@ -0,0 +1,193 @@
+package quorum
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/state/codec"
+	"github.com/mulberrylink/mulberrylink/state/storage"
+)
+
+// view is the membership from one index on.
+type view struct {
+	index   uint64
+	members []Member
+}
+
+func encodeMembers(members []Member) ([]byte, error) { return codec.Marshal(members) }
+
+func decodeMembers(b []byte) ([]Member, error) {
+	if len(b) == 0 {
+		return nil, nil
+	}
+	var members []Member
+	return members, codec.Unmarshal(b, &members)
+}
+
+// loadMembers finds the membership in the snapshot, or the initial one, and in
+// the log.
+func (c *core) loadMembers() error {
+	base := c.hard.Initial
+	if c.snapshot.Index > 0 {
+		base = c.snapshot.Members
+	}
+	members, err := decodeMembers(base)
+	if err != nil {
+		return errors.Wrap(err, "members")
+	}
+	c.views = []view{{index: c.log.base, members: members}}
+	for _, e := range c.log.entries {
+		if err := c.noteMembers(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// noteMembers puts an entry with members in force. That happens when it is
+// appended, not when it is committed.
+func (c *core) noteMembers(e storage.Entry) error {
+	if e.Kind != entryMembers {
+		return nil
+	}
+	members, err := decodeMembers(e.Data)
+	if err != nil {
+		return errors.Wrapf(err, "members in entry %d", e.Index)
+	}
+	c.views = append(c.views, view{index: e.Index, members: members})
+	return nil
+}
+
+// cutMembers forgets memberships from index on.
+func (c *core) cutMembers(from uint64) {
+	for len(c.views) > 1 && c.views[len(c.views)-1].index >= from {
+		c.views = c.views[:len(c.views)-1]
+	}
+}
+
+func (c *core) members() []Member { return c.views[len(c.views)-1].members }
+
+// membersAt returns the membership in force at index.
+func (c *core) membersAt(index uint64) []Member {
+	members := c.views[0].members
+	for _, v := range c.views {
+		if v.index <= index {
+			members = v.members
+		}
+	}
+	return members
+}
+
+func (c *core) member(id uint64) (Member, bool) {
+	i := slices.IndexFunc(c.members(), func(m Member) bool { return m.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return c.members()[i], true
+}
+
+func (c *core) isVoter(id uint64) bool {
+	m, ok := c.member(id)
+	return ok && !m.Learner
+}
+
+func (c *core) addr(id uint64) string {
+	m, _ := c.member(id)
+	return m.Addr
+}
+
+func (c *core) voters() int {
+	n := 0
+	for _, m := range c.members() {
+		if !m.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *core) quorum() int { return c.voters()/2 + 1 }
+
+// quorumValue returns the highest value that a majority of the voters reaches.
+func (c *core) quorumValue(of func(id uint64) uint64) uint64 {
+	var values []uint64
+	for _, m := range c.members() {
+		if !m.Learner {
+			values = append(values, of(m.ID))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-c.quorum()]
+}
+
+// changeMembers appends a new membership. Only one change is under way at a
+// time, and the leader first commits an entry of its own term: otherwise two
+// leaders could use memberships without a common majority.
+func (c *core) changeMembers(members []Member) (index uint64, err error) {
+	switch {
+	case c.role != Leader:
+		return 0, errNotLeader
+	case c.commit < c.termStart && !c.hooks.changeAnyCount:
+		return 0, errBusy
+	case c.views[len(c.views)-1].index > c.commit && !c.hooks.changeAnyCount:
+		return 0, errBusy
+	case c.transferTo != 0:
+		return 0, errBusy
+	case !slices.ContainsFunc(members, func(m Member) bool { return !m.Learner }):
+		return 0, errors.New("a group needs at least one voting member")
+	}
+	data, err := encodeMembers(members)
+	if err != nil {
+		return 0, err
+	}
+	return c.appendOwn(storage.Entry{Kind: entryMembers, Data: data}), nil
+}
+
+// addMember adds a learner.
+func (c *core) addMember(m Member) (uint64, error) {
+	if m.ID == 0 {
+		return 0, errors.New("a member needs an identity")
+	}
+	if _, ok := c.member(m.ID); ok {
+		return 0, errors.Newf("member %016x already exists", m.ID)
+	}
+	m.Learner = true
+	return c.changeMembers(append(slices.Clone(c.members()), m))
+}
+
+// removeMember removes a voter or a learner.
+func (c *core) removeMember(id uint64) (uint64, error) {
+	if _, ok := c.member(id); !ok {
+		return 0, errors.Newf("member %016x does not exist", id)
+	}
+	keep := slices.DeleteFunc(slices.Clone(c.members()), func(m Member) bool { return m.ID == id })
+	return c.changeMembers(keep)
+}
+
+// promoteReady gives a vote to the first learner that has synced everything
+// that is committed. Its acknowledgements are sent only after a sync.
+func (c *core) promoteReady() {
+	for i, m := range c.members() {
+		p := c.peers[m.ID]
+		if !m.Learner || p == nil || p.match < c.commit || p.match < c.termStart {
+			continue
+		}
+		next := slices.Clone(c.members())
+		next[i].Learner = false
+		_, _ = c.changeMembers(next) // retried with the next acknowledgement
+		return
+	}
+}
+
+// membersCommitted acts on a committed change: a leader that is no longer a
+// member steps down after its followers have learned of the commit.
+func (c *core) membersCommitted() {
+	if _, ok := c.member(c.id); !ok && c.views[len(c.views)-1].index <= c.commit {
+		c.broadcast(true)
+		c.becomeFollower(c.term(), 0)
+	}
+}
--- /dev/null
+++ b/coordination/quorum/memlog.go
@@ -0,0 +1,76 @@
+package quorum
+
+import (
+	"fmt"
+
+	"github.com/mulberrylink/mulberrylink/state/storage"
+)
+
+// memLog is the part of the log behind the entry at base.
+type memLog struct {
+	base     uint64
+	baseTerm uint64
+	entries  []storage.Entry
+}
+
+func (l *memLog) last() uint64 { return l.base + uint64(len(l.entries)) }
+
+// term returns the term of the entry at index; ok is false outside the log.
+func (l *memLog) term(index uint64) (term uint64, ok bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.last():
+		return 0, false
+	default:
+		return l.entries[index-l.base-1].Term, true
+	}
+}
+
+func (l *memLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// slice returns the entries from lo on, bounded in number and bytes but at
+// least one when there is one. The result is a copy, because the log may be
+// cut while the entries are on their way.
+func (l *memLog) slice(lo uint64, count, size int) []storage.Entry {
+	if lo > l.last() {
+		return nil
+	}
+	src := l.entries[lo-l.base-1:]
+	n, bytes := 0, 0
+	for n < len(src) && n < count {
+		bytes += len(src[n].Data)
+		if n > 0 && bytes > size {
+			break
+		}
+		n++
+	}
+	return append([]storage.Entry(nil), src[:n]...)
+}
+
+func (l *memLog) append(entries ...storage.Entry) { l.entries = append(l.entries, entries...) }
+
+// cut drops the entries from index on.
+func (l *memLog) cut(from uint64) {
+	if from <= l.base {
+		panic(fmt.Sprintf("quorum: cut at index %d below the snapshot at %d", from, l.base))
+	}
+	l.entries = l.entries[:from-l.base-1]
+}
+
+// compact drops the entries up to index and frees their memory.
+func (l *memLog) compact(index uint64) {
+	term, ok := l.term(index)
+	if !ok || index <= l.base {
+		return
+	}
+	l.entries = append([]storage.Entry(nil), l.entries[index-l.base:]...)
+	l.base, l.baseTerm = index, term
+}
+
+func (l *memLog) reset(index, term uint64) {
+	l.base, l.baseTerm, l.entries = index, term, nil
+}
--- /dev/null
+++ b/coordination/quorum/status.go
@@ -0,0 +1,106 @@
+package quorum
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// State is what a member knows of itself and its group.
+type State struct {
+	ID      uint64
+	Term    uint64
+	Role    Role
+	Leader  uint64
+	Commit  uint64
+	Applied uint64
+	Members []Member
+	// Learners has the highest synced entry of each learner; only a leader
+	// knows it.
+	Learners map[uint64]uint64
+	// Voting tells whether this member takes part in elections.
+	Voting bool
+	// Err is why it stopped taking part: a disk error or Stop.
+	Err error
+}
+
+// Status returns the state as of the last step of the control goroutine.
+func (h *Host) Status() State { return *h.status.Load() }
+
+func (h *Host) publish() {
+	c := h.core
+	st := &State{
+		ID: c.id, Term: c.term(), Role: c.role, Leader: c.leader,
+		Commit: c.commit, Applied: h.applied, Members: c.members(),
+		Voting: h.failed == nil && c.isVoter(c.id), Err: h.failed,
+	}
+	for _, m := range st.Members {
+		if p := c.peers[m.ID]; m.Learner && p != nil {
+			if st.Learners == nil {
+				st.Learners = map[uint64]uint64{}
+			}
+			st.Learners[m.ID] = p.match
+		}
+	}
+	h.status.Store(st)
+}
+
+// AddMember adds a member and returns when it has its vote. When ctx ends
+// earlier, a member that was added still gets its vote later. The call may be
+// repeated.
+func (h *Host) AddMember(ctx context.Context, m Member) error {
+	add := func() error {
+		if old, ok := h.core.member(m.ID); ok && old.Addr == m.Addr {
+			return nil
+		}
+		_, err := h.core.addMember(m)
+		return err
+	}
+	return h.change(ctx, add, func() bool { return h.core.isVoter(m.ID) })
+}
+
+// RemoveMember removes a member and returns when that is committed. The call
+// may be repeated.
+func (h *Host) RemoveMember(ctx context.Context, id uint64) error {
+	remove := func() error {
+		if _, ok := h.core.member(id); !ok {
+			return nil
+		}
+		_, err := h.core.removeMember(id)
+		return err
+	}
+	return h.change(ctx, remove, func() bool { _, ok := h.core.member(id); return !ok })
+}
+
+// change runs start in the control goroutine until it succeeds and then waits
+// until reached holds for a committed membership.
+func (h *Host) change(ctx context.Context, start func() error, reached func() bool) error {
+	started := false
+	for {
+		var err error
+		var done, leads bool
+		callErr := h.call(ctx, func() {
+			if leads = h.failed == nil && h.core.role == Leader; leads && !started {
+				err = start()
+			}
+			committed := h.core.views[len(h.core.views)-1].index <= h.core.commit
+			done = err == nil && committed && reached()
+		})
+		switch {
+		case callErr != nil:
+			return callErr
+		case done:
+			return nil
+		case !leads && started:
+			return ErrIndeterminate
+		case !leads:
+			return ErrNotLeader
+		case err != nil && !errors.Is(err, errBusy):
+			return err
+		}
+		started = started || err == nil
+		if !pause(ctx, changePoll) {
+			return errors.Wrap(ctx.Err(), "change of the membership")
+		}
+	}
+}
--- /dev/null
+++ b/state/storage/frame.go
@@ -0,0 +1,128 @@
+package storage
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/state/codec"
+)
+
+// ErrDamaged reports data that was synced and can no longer be read. A member
+// with damaged data must not vote.
+var ErrDamaged = errors.New("stored data is damaged")
+
+// Entry is one entry of the log.
+type Entry struct {
+	_     struct{} `cbor:",toarray"`
+	Index uint64
+	Term  uint64
+	Kind  uint8
+	Data  []byte
+}
+
+const (
+	frameHeader = 16
+	// maxFrame bounds the length field, so that a damaged one is noticed.
+	maxFrame = 256 << 20
+)
+
+var frameMagic = [4]byte{0xa7, 'M', 'B', 'L'}
+
+type frameKind uint8
+
+const (
+	frameBatch frameKind = iota // entries; the first one may replace a suffix
+	frameCut                    // drops the suffix from index on
+	frameReset                  // drops all entries; index is the new base
+	frameMark                   // everything before it was synced
+)
+
+type frame struct {
+	_       struct{} `cbor:",toarray"`
+	Kind    frameKind
+	Index   uint64
+	Entries []Entry
+}
+
+// encodeFrame returns the bytes of f at the given place. The place is part of
+// the checksum, so bytes of a frame inside an entry never look like a frame.
+func encodeFrame(f frame, seq uint64, offset int64) ([]byte, error) {
+	payload, err := codec.Marshal(f)
+	if err != nil {
+		return nil, err
+	}
+	if len(payload) > maxFrame {
+		return nil, errors.Newf("log batch of %d bytes exceeds the limit of %d", len(payload), maxFrame)
+	}
+	b := make([]byte, frameHeader, frameHeader+len(payload))
+	copy(b, frameMagic[:])
+	binary.LittleEndian.PutUint32(b[4:], uint32(len(payload)))
+	binary.LittleEndian.PutUint64(b[8:], frameSum(payload, seq, offset))
+	return append(b, payload...), nil
+}
+
+func frameSum(payload []byte, seq uint64, offset int64) uint64 {
+	var head [20]byte
+	binary.LittleEndian.PutUint64(head[:], seq)
+	binary.LittleEndian.PutUint64(head[8:], uint64(offset))
+	binary.LittleEndian.PutUint32(head[16:], uint32(len(payload)))
+	d := xxhash.New()
+	_, _ = d.Write(head[:])
+	_, _ = d.Write(payload)
+	return d.Sum64()
+}
+
+// decodeFrame reads the frame at offset and returns the offset behind it.
+func decodeFrame(data []byte, seq uint64, offset int64) (f frame, next int64, ok bool) {
+	b := data[offset:]
+	if len(b) < frameHeader || !bytes.Equal(b[:4], frameMagic[:]) {
+		return frame{}, 0, false
+	}
+	size := int(binary.LittleEndian.Uint32(b[4:]))
+	if size > maxFrame || size > len(b)-frameHeader {
+		return frame{}, 0, false
+	}
+	payload := b[frameHeader : frameHeader+size]
+	if binary.LittleEndian.Uint64(b[8:]) != frameSum(payload, seq, offset) {
+		return frame{}, 0, false
+	}
+	if err := codec.Unmarshal(payload, &f); err != nil {
+		return frame{}, 0, false
+	}
+	return f, offset + frameHeader + int64(size), true
+}
+
+// frameAfter reports whether a valid frame starts anywhere behind offset.
+func frameAfter(data []byte, seq uint64, offset int64) bool {
+	for at := offset + 1; at < int64(len(data)); at++ {
+		i := bytes.Index(data[at:], frameMagic[:])
+		if i < 0 {
+			return false
+		}
+		at += int64(i)
+		if _, _, ok := decodeFrame(data, seq, at); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// scanFrames calls visit for each frame of a segment and returns the length of
+// its valid part.
+func scanFrames(data []byte, seq uint64, visit func(frame) error) (int64, error) {
+	var at int64
+	for at < int64(len(data)) {
+		f, next, ok := decodeFrame(data, seq, at)
+		if !ok {
+			return at, nil
+		}
+		if err := visit(f); err != nil {
+			return at, err
+		}
+		at = next
+	}
+	return at, nil
+}
