--- /dev/null
+++ b/coordination/admission/limiter.go
@@ -0,0 +1,206 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Constants of the limit. Latencies are compared as logarithms, because service
+// times are skewed: one slow request moves a mean far, but not a mean of
+// logarithms.
+const (
+	fastWeight    = 0.25 // the last four completions dominate
+	slowUpWeight  = 0.01 // the usual latency follows a rise over 100 completions
+	slowDownLimit = 0.2  // and a fall over five, so a spike is soon forgotten
+	spreadWeight  = 0.02
+
+	minShift    = 0.92 // ln 2.5: smaller shifts are common on shared hosts
+	spreadShift = 1.5  // times the mean deviation, for services that vary widely
+	warmSamples = 8    // completions before a shift can be detected
+
+	stallFactor = 1.8 // ln 6
+	stallSpread = 3.0
+	minStall    = 20 * time.Millisecond // below are pauses of a garbage collector
+
+	shedFactor   = 0.7
+	coldPatience = 2  // limit's worths of completions per step in a cold start
+	maxPatience  = 32 // after repeated cuts
+)
+
+// limiter computes the concurrency limit of one upstream.
+type limiter struct {
+	slots    int
+	limit    float64
+	cuts     uint64
+	good     int // completions in line since the last step
+	patience int // limit's worths of completions needed for the next step
+
+	samples  int
+	fast     float64 // logarithm of the recent latency in seconds
+	slow     float64 // logarithm of the usual latency in seconds
+	spread   float64 // mean deviation of the logarithm
+	mean     float64 // recent mean latency in seconds
+	lastDone time.Time
+	before   float64 // limit before the present stall, zero when there is none
+}
+
+func (l *limiter) setSlots(n int) {
+	l.slots = max(1, n)
+	l.limit = min(max(1, l.limit), float64(l.slots))
+}
+
+// restart puts the limit back to cold.
+func (l *limiter) restart() {
+	l.limit = 1
+	l.good = 0
+	l.patience = coldPatience
+	l.before = 0
+	l.cuts++
+}
+
+// forget drops what was learnt about the latency of a former process.
+func (l *limiter) forget() {
+	l.samples = 0
+	l.mean = 0
+}
+
+// whole is the number of requests that may be in flight.
+func (l *limiter) whole() int { return max(1, int(l.limit)) }
+
+func (l *limiter) cold() bool { return l.whole() < l.slots }
+
+// latency is the expected time to answer one request; age is that of the oldest
+// unanswered one.
+func (l *limiter) latency(age time.Duration) time.Duration {
+	d := time.Duration(l.mean * float64(time.Second))
+	if l.samples > 0 && age > l.stallBound() {
+		return max(d, age)
+	}
+	return d
+}
+
+// completed records an answer. ok is false for answers that report a failure:
+// they are often fast and must not raise the limit.
+func (l *limiter) completed(now time.Time, took time.Duration, ok bool, cuts uint64) {
+	l.lastDone = now
+	l.before = 0
+	x := math.Log(max(took.Seconds(), 1e-6))
+	inLine := l.learn(x, took.Seconds(), ok)
+	if l.samples >= warmSamples && l.fast-l.slow > l.shiftBound() {
+		l.slowed(cuts)
+		return
+	}
+	if ok && inLine {
+		l.grow()
+	}
+}
+
+// learn updates the estimates and reports whether the latency is in line.
+func (l *limiter) learn(x, seconds float64, ok bool) bool {
+	if !ok {
+		return false
+	}
+	l.samples++
+	if l.samples == 1 {
+		l.fast, l.slow, l.spread, l.mean = x, x, 0.5, seconds
+		return true
+	}
+	inLine := x-l.slow <= max(l.shiftBound(), stallSpread*l.spread)
+	l.fast += fastWeight * (x - l.fast)
+	l.mean += fastWeight * (seconds - l.mean)
+	l.spread += spreadWeight * (math.Abs(x-l.slow) - l.spread)
+	w := max(slowUpWeight, 1/float64(l.samples))
+	if l.fast < l.slow {
+		w = max(w, slowDownLimit)
+	}
+	l.slow += w * (l.fast - l.slow)
+	return inLine
+}
+
+func (l *limiter) shiftBound() float64 { return max(minShift, spreadShift*l.spread) }
+
+// slowed divides the limit by the slowdown and takes the present latency as the
+// usual one, so that a lasting slowdown does not hold the limit down for ever.
+func (l *limiter) slowed(cuts uint64) {
+	factor := math.Exp(l.slow - l.fast)
+	l.slow = l.fast
+	if cuts == l.cuts {
+		l.cut(factor)
+	}
+}
+
+// shed lowers the limit once for all requests admitted under the same limit.
+func (l *limiter) shed(cuts uint64) {
+	if cuts == l.cuts {
+		l.cut(shedFactor)
+	}
+}
+
+func (l *limiter) cut(factor float64) {
+	l.limit = max(1, l.limit*factor)
+	l.patience = min(maxPatience, 2*max(1, l.patience))
+	l.good = 0
+	l.cuts++
+}
+
+// grow raises the limit by one after enough completions in line.
+func (l *limiter) grow() {
+	l.good++
+	if l.good < l.whole()*max(1, l.patience) {
+		return
+	}
+	l.good = 0
+	l.patience = max(1, l.patience/2)
+	l.limit = min(float64(l.slots), math.Floor(l.limit)+1)
+}
+
+func (l *limiter) stallBound() time.Duration {
+	s := math.Exp(l.slow + max(stallFactor, stallSpread*l.spread))
+	return max(minStall, time.Duration(s*float64(time.Second)))
+}
+
+// stalled lowers the limit when nothing has completed for far longer than usual
+// although a request is in flight: the limit falls with the age of the oldest
+// one.
+func (l *limiter) stalled(now time.Time, age time.Duration) {
+	if l.samples < warmSamples || age <= l.stallBound() {
+		return
+	}
+	if now.Sub(l.lastDone) <= l.stallBound() {
+		return
+	}
+	if l.before == 0 {
+		l.before = l.limit
+		l.patience = min(maxPatience, 2*max(1, l.patience))
+		l.good = 0
+		l.cuts++
+	}
+	usual := math.Exp(l.slow)
+	l.limit = max(1, min(l.limit, l.before*usual/age.Seconds()))
+}
+
+// Deadlines of a refused connection.
+const (
+	backoffFirst = 50 * time.Millisecond
+	backoffMax   = time.Second
+)
+
+// backoff holds requests back after a refused connection. When it ends, the
+// limit of one lets a single request try.
+type backoff struct {
+	until time.Time
+	next  time.Duration
+}
+
+func (b *backoff) holds(now time.Time) bool { return now.Before(b.until) }
+
+// extend counts all connections that fail while it holds as one failure.
+func (b *backoff) extend(now time.Time) {
+	if b.holds(now) {
+		return
+	}
+	b.next = min(backoffMax, max(backoffFirst, 2*b.next))
+	b.until = now.Add(b.next)
+}
+
+func (b *backoff) clear() { *b = backoff{} }
--- /dev/null
+++ b/coordination/admission/ticket.go
@@ -0,0 +1,153 @@
+package admission
+
+import (
+	"time"
+)
+
+//go:generate stringer -type=Class -linecomment -output=class_string.go
+
+// Class is how an admitted request ended, as far as the limit is concerned.
+type Class uint8
+
+// Classes of completions.
+const (
+	Success  Class = iota // success
+	Failure               // failure
+	Shed                  // shed
+	Refused               // refused
+	Died                  // died
+	Canceled              // canceled
+)
+
+// Completion describes the end of an admitted request. Success and Failure are
+// answers, Shed is an answer with which the upstream declined the work, Refused
+// a connection that the upstream did not accept, Died the death of the upstream
+// and Canceled an end that says nothing about the upstream.
+type Completion struct {
+	Class Class
+	// Latency is the time from the complete request to the first byte of the
+	// answer. Zero selects the time between Sent and Responded.
+	Latency time.Duration
+}
+
+// Ticket is the permission to run one request on the upstream.
+type Ticket struct {
+	gate       *Gate
+	prev, next *Ticket // neighbours in ticketList
+	at         time.Time
+	took       time.Duration
+	cuts       uint64 // number of cuts of the limit before admission
+	alone      bool
+	probe      bool
+	body       bool
+	responded  bool
+	listed     bool
+	done       bool
+}
+
+// Sent records that the whole request has been handed to the upstream. The time
+// a caller needs to upload its body does not count as the upstream's latency.
+// A request without a body counts from its admission.
+func (t *Ticket) Sent() {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.done || t.responded || t.probe {
+		return
+	}
+	g.sent.remove(t)
+	t.body = false
+	t.at = g.clock.Now()
+	g.sent.push(t)
+}
+
+// Responded records the first byte of the answer.
+func (t *Ticket) Responded() {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.done || t.responded {
+		return
+	}
+	t.responded = true
+	t.took = g.clock.Now().Sub(t.at)
+	g.sent.remove(t)
+}
+
+// Done ends the request and frees its slot.
+func (t *Ticket) Done(c Completion) {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.done {
+		return
+	}
+	t.done = true
+	now := g.clock.Now()
+	g.sent.remove(t)
+	g.inFlight--
+	g.alone = false
+	g.learn(t, c, now)
+	g.settle(now)
+}
+
+// learn adjusts the limit to the end of a request.
+func (g *Gate) learn(t *Ticket, c Completion, now time.Time) {
+	switch c.Class {
+	case Shed:
+		g.limit.shed(t.cuts)
+	case Refused, Died:
+		g.limit.restart()
+		g.backoff.extend(now)
+	case Success, Failure:
+		g.backoff.clear()
+		if !t.probe {
+			g.limit.completed(now, t.latency(c, now), c.Class == Success, t.cuts)
+		}
+	case Canceled:
+	}
+}
+
+func (t *Ticket) latency(c Completion, now time.Time) time.Duration {
+	switch {
+	case c.Latency > 0:
+		return c.Latency
+	case t.responded:
+		return t.took
+	default:
+		return now.Sub(t.at)
+	}
+}
+
+// ticketList holds the requests the upstream has not begun to answer, oldest
+// first.
+type ticketList struct{ head, tail *Ticket }
+
+func (l *ticketList) push(t *Ticket) {
+	t.listed = true
+	t.prev = l.tail
+	if l.tail == nil {
+		l.head = t
+	} else {
+		l.tail.next = t
+	}
+	l.tail = t
+}
+
+func (l *ticketList) remove(t *Ticket) {
+	if !t.listed {
+		return
+	}
+	t.listed = false
+	if t.prev == nil {
+		l.head = t.next
+	} else {
+		t.prev.next = t.next
+	}
+	if t.next == nil {
+		l.tail = t.prev
+	} else {
+		t.next.prev = t.prev
+	}
+	t.prev, t.next = nil, nil
+}
--- /dev/null
+++ b/coordination/dispatch/claim.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// Constants of claims.
+const (
+	pollFirst   = 20 * time.Millisecond
+	pollMax     = 250 * time.Millisecond
+	askAgain    = 3 // times, when the state of a claim is indeterminate
+	releaseTime = time.Second
+	// defaultWait bounds the wait for a request that has no deadline.
+	defaultWait = 30 * time.Second
+)
+
+// claim obtains the claim on the key of r. Without it, the result says why.
+func (d *Dispatcher) claim(ctx context.Context, r *mulberrylink.Request) (res mulberrylink.Result, granted bool) {
+	giveUp := d.cfg.Clock.Now().Add(d.left(r, defaultWait))
+	wait := pollFirst
+	for first := true; ; first = false {
+		c := d.ask(ctx, r)
+		// The request that held the claim before may have run.
+		if !first && (c.State == Unavailable || c.State == Indeterminate) {
+			d.release(ctx, r)
+			return unknown(mulberrylink.ReasonPending), false
+		}
+		switch c.State {
+		case Granted:
+			return d.held(ctx, r)
+		case Finished:
+			return mulberrylink.Result{Outcome: mulberrylink.Answered, Answer: c.Answer}, false
+		case Spent:
+			return unknown(mulberrylink.ReasonClaimed), false
+		case Conflict:
+			return notRun(mulberrylink.ReasonConflict), false
+		case Unavailable:
+			return notRun(mulberrylink.ReasonNoQuorum), false
+		case Indeterminate:
+			d.release(ctx, r)
+			return notRun(mulberrylink.ReasonNoQuorum), false
+		case Pending:
+		}
+		if !d.sleep(ctx, min(wait, giveUp.Sub(d.cfg.Clock.Now()))) {
+			return unknown(mulberrylink.ReasonPending), false
+		}
+		wait = min(pollMax, 2*wait)
+	}
+}
+
+// held confirms that a granted claim can still be used: the grant may have
+// arrived after the deadline.
+func (d *Dispatcher) held(ctx context.Context, r *mulberrylink.Request) (mulberrylink.Result, bool) {
+	if reason := d.barred(ctx, r); reason != mulberrylink.ReasonNone {
+		d.release(ctx, r)
+		return notRun(reason), false
+	}
+	return mulberrylink.Result{}, true
+}
+
+// ask requests the claim, again with the same request ID when its state is
+// indeterminate.
+func (d *Dispatcher) ask(ctx context.Context, r *mulberrylink.Request) Claim {
+	wait := pollFirst
+	var c Claim
+	for range askAgain {
+		c = d.cfg.Claimer.Claim(ctx, r)
+		if c.State != Indeterminate || !d.sleep(ctx, d.left(r, wait)) {
+			return c
+		}
+		wait *= 2
+	}
+	return c
+}
+
+// release gives the claim back even when the caller has gone away.
+func (d *Dispatcher) release(ctx context.Context, r *mulberrylink.Request) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
+	defer cancel()
+	d.cfg.Claimer.Release(ctx, r)
+}
+
+// sleep reports whether the whole time has passed and was not empty.
+func (d *Dispatcher) sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 || ctx.Err() != nil {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/dispatcher.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
+)
+
+// MaxDepth bounds the depth of nested calls, so that a loop of services ends.
+// The deepest known chain has 28 calls.
+const MaxDepth = 64
+
+// Config holds the parts of a Dispatcher. All but Spread are required; Claimer
+// may be nil when no route is keyed.
+type Config struct {
+	Clock     Clock
+	Forwarder Forwarder
+	Claimer   Claimer
+	Picker    Picker
+	Suspects  Suspects
+	Budget    Budget
+	// Spread sends notices to the other nodes.
+	Spread func(notices []suspect.Notice)
+}
+
+// Dispatcher runs requests. It is safe for concurrent use.
+type Dispatcher struct{ cfg Config }
+
+// New returns a dispatcher.
+func New(cfg Config) *Dispatcher {
+	if cfg.Spread == nil {
+		cfg.Spread = func([]suspect.Notice) {}
+	}
+	return &Dispatcher{cfg: cfg}
+}
+
+// Do runs the request and returns what became of it. The body of the answer
+// must be closed.
+func (d *Dispatcher) Do(ctx context.Context, r *mulberrylink.Request) mulberrylink.Result {
+	res := d.do(ctx, r)
+	d.cfg.Budget.End(r, res)
+	return res
+}
+
+func (d *Dispatcher) do(ctx context.Context, r *mulberrylink.Request) mulberrylink.Result {
+	if reason := d.barred(ctx, r); reason != mulberrylink.ReasonNone {
+		return notRun(reason)
+	}
+	if !r.Keyed || r.Key == "" {
+		return d.run(ctx, r)
+	}
+	if res, granted := d.claim(ctx, r); !granted {
+		return res
+	}
+	res := d.run(ctx, r)
+	if res.Outcome == mulberrylink.NotRun {
+		d.release(ctx, r)
+	}
+	return res
+}
+
+// barred returns the reason for which the request must not run at all.
+func (d *Dispatcher) barred(ctx context.Context, r *mulberrylink.Request) mulberrylink.Reason {
+	switch {
+	case r.Depth > MaxDepth:
+		return mulberrylink.ReasonDepth
+	case ctx.Err() != nil:
+		return mulberrylink.ReasonCanceled
+	case d.late(r):
+		return mulberrylink.ReasonDeadline
+	case d.cfg.Suspects.Verdict(r.Print) == suspect.Refuse:
+		return mulberrylink.ReasonCrasher
+	default:
+		return mulberrylink.ReasonNone
+	}
+}
+
+func (d *Dispatcher) late(r *mulberrylink.Request) bool {
+	return !r.Deadline.IsZero() && !d.cfg.Clock.Now().Before(r.Deadline)
+}
+
+// left is the time until the deadline, at most the given time.
+func (d *Dispatcher) left(r *mulberrylink.Request, most time.Duration) time.Duration {
+	if r.Deadline.IsZero() {
+		return most
+	}
+	return min(most, r.Deadline.Sub(d.cfg.Clock.Now()))
+}
+
+func notRun(reason mulberrylink.Reason) mulberrylink.Result {
+	return mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: reason}
+}
+
+func unknown(reason mulberrylink.Reason) mulberrylink.Result {
+	return mulberrylink.Result{Outcome: mulberrylink.Unknown, Reason: reason}
+}
--- /dev/null
+++ b/coordination/retry/budgets.go
@@ -0,0 +1,166 @@
+package retry
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// Clock tells the time.
+type Clock interface{ Now() time.Time }
+
+// Defaults of Config.
+const (
+	DefaultPercent = 20
+	DefaultReserve = 3
+	DefaultRefill  = time.Second
+	DefaultExtra   = 3
+)
+
+// Config holds the settings of Budgets. Zero values select the defaults.
+type Config struct {
+	Clock Clock
+	// Registry receives the counters refused.REASON, unknown.REASON,
+	// retried.REASON, hedged and denied.REASON.
+	Registry metrics.Registry
+	// Percent returns the retry budget of a service as a share of first tries.
+	Percent func(service string) int
+	// Reserve is the number of tries allowed in addition in each Refill.
+	Reserve int
+	Refill  time.Duration
+	// Extra is the largest number of tries beyond the first that one request
+	// may cost on all nodes of a chain of calls together.
+	Extra int
+}
+
+// Budgets holds the budget of each service. It is safe for concurrent use.
+type Budgets struct {
+	cfg      Config
+	counters counters
+
+	mu       sync.RWMutex
+	services map[string]*Budget
+}
+
+// New returns budgets without any service; each is added on first use.
+func New(cfg Config) *Budgets {
+	cfg.Reserve = cmp.Or(cfg.Reserve, DefaultReserve)
+	cfg.Refill = cmp.Or(cfg.Refill, DefaultRefill)
+	cfg.Extra = cmp.Or(cfg.Extra, DefaultExtra)
+	if cfg.Percent == nil {
+		cfg.Percent = func(string) int { return DefaultPercent }
+	}
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
+	return &Budgets{
+		cfg:      cfg,
+		counters: newCounters(cfg.Registry),
+		services: make(map[string]*Budget),
+	}
+}
+
+// First counts the first try of a request.
+func (b *Budgets) First(r *mulberrylink.Request) {
+	b.service(r.Service).first(b.cfg.Percent(r.Service))
+}
+
+// Retry reports whether the request may be tried again after res, and takes the
+// try from the budget. extra is the number of tries beyond the first that this
+// node has spent on it.
+func (b *Budgets) Retry(r *mulberrylink.Request, res mulberrylink.Result, extra int) bool {
+	if !Eligible(r, res) {
+		return false
+	}
+	s := b.service(r.Service)
+	now := b.cfg.Clock.Now()
+	allowed := r.Tries+extra < b.cfg.Extra && s.inTime(r, now) && s.take(now)
+	if !allowed {
+		b.counters.denied[res.Reason].Inc(1)
+		return false
+	}
+	b.counters.retried[res.Reason].Inc(1)
+	return true
+}
+
+// HedgeAfter returns the time after which a second try of an idempotent request
+// may be started while the first is running. ok is false when it never may.
+func (b *Budgets) HedgeAfter(r *mulberrylink.Request) (after time.Duration, ok bool) {
+	if !r.Idempotent || r.Tries >= b.cfg.Extra {
+		return 0, false
+	}
+	now := b.cfg.Clock.Now()
+	s := b.service(r.Service)
+	after, typical, ok := s.quantiles(now)
+	if !ok || !r.Deadline.IsZero() && r.Deadline.Sub(now) < after+typical {
+		return 0, false
+	}
+	return after, true
+}
+
+// Hedge takes a second try of a running request from the budget. extra is the
+// number of tries beyond the first that this node has spent on it.
+func (b *Budgets) Hedge(r *mulberrylink.Request, extra int) bool {
+	now := b.cfg.Clock.Now()
+	s := b.service(r.Service)
+	if !r.Idempotent || r.Tries+extra >= b.cfg.Extra || !s.inTime(r, now) || !s.take(now) {
+		return false
+	}
+	b.counters.hedged.Inc(1)
+	return true
+}
+
+// Took records how long an answered try took.
+func (b *Budgets) Took(r *mulberrylink.Request, took time.Duration) {
+	b.service(r.Service).record(took, b.cfg.Clock.Now())
+}
+
+// End counts the result that the caller receives.
+func (b *Budgets) End(_ *mulberrylink.Request, res mulberrylink.Result) {
+	switch res.Outcome {
+	case mulberrylink.NotRun:
+		b.counters.refused[res.Reason].Inc(1)
+	case mulberrylink.Unknown:
+		b.counters.unknown[res.Reason].Inc(1)
+	case mulberrylink.Answered:
+	}
+}
+
+func (b *Budgets) service(name string) *Budget {
+	b.mu.RLock()
+	s, found := b.services[name]
+	b.mu.RUnlock()
+	if found {
+		return s
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, found = b.services[name]; found {
+		return s
+	}
+	s = newBudget(b.cfg.Reserve, b.cfg.Refill)
+	b.services[name] = s
+	return s
+}
+
+// counters holds one counter for each reason.
+type counters struct {
+	refused, unknown, retried, denied []metrics.Counter
+	hedged                            metrics.Counter
+}
+
+func newCounters(reg metrics.Registry) counters {
+	var c counters
+	for _, r := range mulberrylink.Reasons() {
+		c.refused = append(c.refused, metrics.GetOrRegisterCounter("refused."+r.String(), reg))
+		c.unknown = append(c.unknown, metrics.GetOrRegisterCounter("unknown."+r.String(), reg))
+		c.retried = append(c.retried, metrics.GetOrRegisterCounter("retried."+r.String(), reg))
+		c.denied = append(c.denied, metrics.GetOrRegisterCounter("denied."+r.String(), reg))
+	}
+	c.hedged = metrics.GetOrRegisterCounter("hedged", reg)
+	return c
+}
--- /dev/null
+++ b/coordination/selection/picker.go
@@ -0,0 +1,294 @@
+package selection
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// Defaults of Config and Settings.
+const (
+	DefaultChoices      = 2
+	DefaultEjectPercent = 20
+)
+
+// Picker is the adaptive policy. It is safe for concurrent use.
+type Picker struct {
+	cfg Config
+
+	mu       sync.Mutex
+	services map[string]*service
+	peers    map[string]*peer // by node name
+	sweepAt  time.Time
+}
+
+// NewPicker returns the adaptive policy.
+func NewPicker(cfg Config) *Picker {
+	cfg.Choices = cmp.Or(cfg.Choices, DefaultChoices)
+	if cfg.Settings == nil {
+		cfg.Settings = func(string) Settings { return Settings{} }
+	}
+	if cfg.Entries == nil {
+		cfg.Entries = func() int { return 1 }
+	}
+	return &Picker{
+		cfg:      cfg,
+		services: make(map[string]*service),
+		peers:    make(map[string]*peer),
+	}
+}
+
+// service is the view of one service on the entry node.
+type service struct {
+	nodes  []mulberrylink.Node // as returned by the source
+	peers  []*peer             // of the subset
+	turn   int                 // of the round robin policy
+	usedAt time.Time
+	median float64 // of the peers' latency in seconds
+	midAt  time.Time
+}
+
+const medianEvery = 20 * time.Millisecond
+
+// Pick returns the node for r, or false when all nodes have been tried.
+func (p *Picker) Pick(r *mulberrylink.Request, tried []string) (mulberrylink.Node, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Clock.Now()
+	s := p.view(r.Service, now)
+	if own := p.own(s, now, tried); own != nil {
+		return p.take(own, now), true
+	}
+	best := p.cheapest(s, now, tried)
+	if best == nil {
+		return mulberrylink.Node{}, false
+	}
+	return p.take(best, now), true
+}
+
+// PickAlone returns the node for a request that must run alone: the first one
+// in the rendezvous order of its fingerprint.
+func (p *Picker) PickAlone(r *mulberrylink.Request, tried []string) (mulberrylink.Node, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Clock.Now()
+	p.view(r.Service, now)
+	var best mulberrylink.Node
+	var rank uint64
+	for _, n := range p.cfg.Nodes.Nodes(r.Service) {
+		if !n.Usable() || slices.Contains(tried, n.Name) {
+			continue
+		}
+		if h := rendezvous(r.Print, n.Name); best.Name == "" || h > rank {
+			best, rank = n, h
+		}
+	}
+	if best.Name == "" {
+		return best, false
+	}
+	return p.take(p.peer(best), now), true
+}
+
+// Observe ends a try that Pick or PickAlone began.
+func (p *Picker) Observe(node string, res mulberrylink.Result, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, found := p.peers[node]
+	if !found {
+		return
+	}
+	now := p.cfg.Clock.Now()
+	e.outstanding = max(0, e.outstanding-1)
+	if e.state == trial {
+		e.trials = max(0, e.trials-1)
+	}
+	if res.Reason == mulberrylink.ReasonCanceled {
+		return
+	}
+	reached := res.Load != (mulberrylink.Load{})
+	if reached {
+		e.report(res.Load, now)
+	}
+	p.judge(e, res, reached, took, now)
+}
+
+// Report records a load that arrived by other means, such as a probe.
+func (p *Picker) Report(node string, load mulberrylink.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, found := p.peers[node]; found {
+		e.report(load, p.cfg.Clock.Now())
+	}
+}
+
+// view returns the service with the present nodes.
+func (p *Picker) view(name string, now time.Time) *service {
+	s, found := p.services[name]
+	if !found {
+		s = &service{}
+		p.services[name] = s
+	}
+	s.usedAt = now
+	nodes := p.cfg.Nodes.Nodes(name)
+	if !same(nodes, s.nodes) {
+		s.nodes = nodes
+		s.peers = s.peers[:0]
+		for _, n := range subset(nodes, p.cfg.Self, p.cfg.Domain, p.cfg.Settings(name).Subset) {
+			s.peers = append(s.peers, p.peer(n))
+		}
+		s.midAt = time.Time{}
+	}
+	if !now.Before(s.midAt) {
+		s.median = median(s.peers, now)
+		s.midAt = now.Add(medianEvery)
+	}
+	p.sweep(now)
+	return s
+}
+
+// same reports whether a and b are the same immutable slice.
+func same(a, b []mulberrylink.Node) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	return len(a) == 0 || &a[0] == &b[0]
+}
+
+func (p *Picker) peer(n mulberrylink.Node) *peer {
+	e, found := p.peers[n.Name]
+	if !found || e.node.Incarnation != n.Incarnation {
+		fresh := &peer{node: n}
+		if found {
+			fresh.outstanding = e.outstanding
+		}
+		e = fresh
+		p.peers[n.Name] = e
+	}
+	e.node = n
+	return e
+}
+
+// own returns the node's own upstream when it should run the request: it has a
+// free slot, nothing waits for it, and it is not slow.
+func (p *Picker) own(s *service, now time.Time, tried []string) *peer {
+	if p.cfg.Local == nil || slices.Contains(tried, p.cfg.Self) {
+		return nil
+	}
+	for _, e := range s.peers {
+		if e.node.Name != p.cfg.Self || !e.open(now) {
+			continue
+		}
+		l := p.cfg.Local()
+		e.report(l, now)
+		if l.Queued > 0 || l.InFlight >= l.Limit || e.slowdown(s.median, now) > 1 {
+			return nil
+		}
+		return e
+	}
+	return nil
+}
+
+// cheapest draws candidates in the node's own failure domain and in the others
+// and returns the one with the lowest cost. When all nodes that are not ejected
+// have been tried, the ejected ones are better than none.
+func (p *Picker) cheapest(s *service, now time.Time, tried []string) *peer {
+	var near, far, shut []*peer
+	for _, e := range s.peers {
+		switch {
+		case slices.Contains(tried, e.node.Name):
+		case !e.open(now):
+			shut = append(shut, e)
+		case e.node.Domain == p.cfg.Domain:
+			near = append(near, e)
+		default:
+			far = append(far, e)
+		}
+	}
+	drawn := append(p.draw(near, now), p.draw(far, now)...)
+	if len(drawn) == 0 {
+		drawn = p.draw(shut, now)
+	}
+	var best *peer
+	var least float64
+	for _, e := range drawn {
+		c := e.cost(s.median, now)
+		if e.node.Domain != p.cfg.Domain {
+			c += farCost
+		}
+		if best == nil || c < least {
+			best, least = e, c
+		}
+	}
+	return best
+}
+
+// draw takes Choices candidates without replacement, each with a chance in
+// proportion to its limit, so that cold upstreams get their share and no more.
+func (p *Picker) draw(from []*peer, now time.Time) []*peer {
+	if len(from) <= 1 {
+		return from
+	}
+	total := 0
+	for _, e := range from {
+		total += e.limit(now)
+	}
+	out := make([]*peer, 0, 2*p.cfg.Choices)
+	for range min(p.cfg.Choices, len(from)) {
+		at := int(p.cfg.Rand() % uint64(max(1, total)))
+		for i, e := range from {
+			if at -= e.limit(now); at < 0 || i == len(from)-1 {
+				out = append(out, e)
+				total -= e.limit(now)
+				last := len(from) - 1
+				from[i], from = from[last], from[:last]
+				break
+			}
+		}
+	}
+	return out
+}
+
+func (p *Picker) take(e *peer, now time.Time) mulberrylink.Node {
+	e.outstanding++
+	e.uses++
+	if e.state == ejected && !now.Before(e.until) {
+		e.state = trial
+		e.trials = 0
+	}
+	if e.state == trial {
+		e.trials++
+	}
+	return e.node
+}
+
+const (
+	sweepEvery = time.Minute
+	idleFor    = 10 * time.Minute
+)
+
+// sweep forgets nodes that are not used any more.
+func (p *Picker) sweep(now time.Time) {
+	if now.Before(p.sweepAt) {
+		return
+	}
+	p.sweepAt = now.Add(sweepEvery)
+	for name, s := range p.services {
+		if now.Sub(s.usedAt) > idleFor {
+			delete(p.services, name)
+		}
+	}
+	used := make(map[*peer]bool)
+	for _, s := range p.services {
+		for _, e := range s.peers {
+			used[e] = true
+		}
+	}
+	for name, e := range p.peers {
+		if !used[e] && e.outstanding == 0 {
+			delete(p.peers, name)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/selection/subset.go
@@ -0,0 +1,88 @@
+package selection
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// rendezvous is the rank of a node for one seed.
+func rendezvous(seed uint64, node string) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], seed)
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(node)
+	return d.Sum64()
+}
+
+// subset returns the usable nodes that an entry node chooses among. It takes
+// the highest ranks of the failure domains in turn, its own domain first, so a
+// change of one node changes the subset by one node, and every domain stays
+// represented. The node itself is always included.
+func subset(nodes []mulberrylink.Node, self, domain string, bound int) []mulberrylink.Node {
+	usable := make([]mulberrylink.Node, 0, len(nodes))
+	for _, n := range nodes {
+		if n.Usable() {
+			usable = append(usable, n)
+		}
+	}
+	if bound <= 0 || len(usable) <= bound {
+		return usable
+	}
+	seed := xxhash.Sum64String(self)
+	queues := byDomain(usable, func(n mulberrylink.Node) uint64 {
+		if n.Name == self {
+			return ^uint64(0)
+		}
+		return rendezvous(seed, n.Name)
+	})
+	order := domainOrder(queues, seed, domain)
+	out := make([]mulberrylink.Node, 0, bound)
+	for len(out) < bound {
+		for _, d := range order {
+			if len(queues[d]) == 0 || len(out) == bound {
+				continue
+			}
+			out = append(out, queues[d][0])
+			queues[d] = queues[d][1:]
+		}
+	}
+	return out
+}
+
+// byDomain groups the nodes by failure domain, highest rank first.
+func byDomain(nodes []mulberrylink.Node, rank func(mulberrylink.Node) uint64) map[string][]mulberrylink.Node {
+	queues := make(map[string][]mulberrylink.Node)
+	for _, n := range nodes {
+		queues[n.Domain] = append(queues[n.Domain], n)
+	}
+	for _, q := range queues {
+		slices.SortFunc(q, func(a, b mulberrylink.Node) int {
+			return cmp.Compare(rank(b), rank(a))
+		})
+	}
+	return queues
+}
+
+func domainOrder(queues map[string][]mulberrylink.Node, seed uint64, own string) []string {
+	order := make([]string, 0, len(queues))
+	for d := range queues {
+		order = append(order, d)
+	}
+	rank := func(d string) uint64 {
+		if d == own {
+			return ^uint64(0)
+		}
+		return rendezvous(seed, d)
+	}
+	slices.SortFunc(order, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
+	})
+	return order
+}
