Add scripted scenarios, models and examples for the decision packages

Estimates of a slowdown now take the level of the last two completions: the fast estimate alone lowered the limit from 6 to 2 instead of 1 after three completions ten times slower (scenario slowdown.txt).

--- a/coordination/admission/limiter.go
+++ b/coordination/admission/limiter.go
@@ -38,6 +38,7 @@
 	samples  int
 	fast     float64 // logarithm of the recent latency in seconds
 	slow     float64 // logarithm of the usual latency in seconds
+	last     float64 // logarithm of the latency of the last completion
 	spread   float64 // mean deviation of the logarithm
 	mean     float64 // recent mean latency in seconds
 	lastDone time.Time
@@ -61,6 +62,7 @@
 // forget drops what was learnt about the latency of a former process.
 func (l *limiter) forget() {
 	l.samples = 0
+	l.last = 0
 	l.mean = 0
 }
 
@@ -85,9 +87,11 @@
 	l.lastDone = now
 	l.before = 0
 	x := math.Log(max(took.Seconds(), 1e-6))
+	level := min(x, l.last)
+	l.last = x
 	inLine := l.learn(x, took.Seconds(), ok)
 	if l.samples >= warmSamples && l.fast-l.slow > l.shiftBound() {
-		l.slowed(cuts)
+		l.slowed(level, cuts)
 		return
 	}
 	if ok && inLine {
@@ -121,7 +125,10 @@
 
 // slowed divides the limit by the slowdown and takes the present latency as the
 // usual one, so that a lasting slowdown does not hold the limit down for ever.
-func (l *limiter) slowed(cuts uint64) {
+// level is what the last two completions reached; the fast estimate lags behind
+// it after a large step.
+func (l *limiter) slowed(level float64, cuts uint64) {
+	l.fast = max(l.fast, level)
 	factor := math.Exp(l.slow - l.fast)
 	l.slow = l.fast
 	if cuts == l.cuts {
--- /dev/null
+++ b/coordination/admission/script_test.go
@@ -0,0 +1,238 @@
+package admission_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/admission"
+)
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+// TestScripts runs every scenario of testdata in virtual time. Each file names
+// the failure it guards against in its first lines.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			text, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			synctest.Test(t, func(t *testing.T) { newScript(t).run(string(text)) })
+		})
+	}
+}
+
+// entry is a request of a script.
+type entry struct {
+	ticket *admission.Ticket
+	reason mulberrylink.Reason
+	ended  atomic.Bool // written last
+	cancel context.CancelFunc
+}
+
+type script struct {
+	t       *testing.T
+	gate    *admission.Gate
+	entries map[string]*entry
+}
+
+func newScript(t *testing.T) *script {
+	cfg := admission.Config{Clock: clock{}}
+	return &script{t: t, gate: admission.New(cfg), entries: map[string]*entry{}}
+}
+
+func (s *script) run(text string) {
+	for i, line := range strings.Split(text, "\n") {
+		f := strings.Fields(line)
+		if len(f) == 0 || strings.HasPrefix(f[0], "#") {
+			continue
+		}
+		if err := s.step(f[0], f[1:], args(f[1:])); err != nil {
+			s.t.Fatalf("line %d: %s: %v", i+1, line, err)
+		}
+		synctest.Wait()
+	}
+	for _, e := range s.entries {
+		e.cancel()
+	}
+	synctest.Wait()
+}
+
+func args(words []string) map[string]string {
+	m := map[string]string{}
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		m[k] = v
+	}
+	return m
+}
+
+func (s *script) step(verb string, words []string, a map[string]string) error {
+	switch verb {
+	case "announce":
+		s.gate.Announce(number(a["slots"]), number(a["conns"]), states[a["state"]], uint64(number(a["incarnation"])))
+	case "down":
+		s.gate.Down()
+	case "ramp":
+		s.gate.Ramp()
+	case "block":
+		s.gate.Block(reasons()[words[0]])
+	case "advance":
+		time.Sleep(duration(words[0]))
+	case "enter":
+		s.enter(words[0], a)
+	case "cancel":
+		s.entries[words[0]].cancel()
+	case "sent":
+		s.entries[words[0]].ticket.Sent()
+	case "responded":
+		s.entries[words[0]].ticket.Responded()
+	case "done":
+		s.entries[words[0]].ticket.Done(admission.Completion{Class: classes[a["class"]]})
+	case "probe":
+		return s.probe(words[0])
+	case "serve":
+		return s.serve(number(a["n"]), number(a["at"]), duration(a["took"]))
+	case "expect":
+		return s.expect(words)
+	default:
+		return fmt.Errorf("unknown step")
+	}
+	return nil
+}
+
+func (s *script) enter(name string, a map[string]string) {
+	r := &mulberrylink.Request{}
+	if d, found := a["deadline"]; found {
+		r.Deadline = time.Now().Add(duration(d))
+	}
+	if _, found := a["body"]; found {
+		r.Length = -1
+	}
+	_, alone := a["alone"]
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &entry{cancel: cancel}
+	s.entries[name] = e
+	go func() {
+		e.ticket, e.reason = s.gate.Enter(ctx, r, alone)
+		e.ended.Store(true)
+	}()
+}
+
+func (s *script) probe(want string) error {
+	t, ok := s.gate.EnterProbe()
+	if ok {
+		defer t.Done(admission.Completion{Class: admission.Success})
+	}
+	if got := map[bool]string{true: "admitted", false: "refused"}[ok]; got != want {
+		return fmt.Errorf("probe %s", got)
+	}
+	return nil
+}
+
+// serve completes n requests in rounds of at, each after took.
+func (s *script) serve(n, at int, took time.Duration) error {
+	for n > 0 {
+		var round []*admission.Ticket
+		for range min(n, max(1, at)) {
+			t, reason := s.gate.Enter(context.Background(), &mulberrylink.Request{}, false)
+			if t == nil {
+				return fmt.Errorf("refused: %s", reason)
+			}
+			round = append(round, t)
+		}
+		time.Sleep(took)
+		for _, t := range round {
+			t.Done(admission.Completion{})
+			n--
+		}
+	}
+	return nil
+}
+
+func (s *script) expect(words []string) error {
+	l := s.gate.Load()
+	for _, w := range words {
+		k, want, _ := strings.Cut(w, "=")
+		var got string
+		switch k {
+		case "limit":
+			got = strconv.Itoa(l.Limit)
+		case "inflight":
+			got = strconv.Itoa(l.InFlight)
+		case "queued":
+			got = strconv.Itoa(l.Queued)
+		case "cold":
+			got = strconv.FormatBool(l.Cold)
+		default:
+			got = s.entries[k].String()
+		}
+		if got != want {
+			return fmt.Errorf("%s is %s (load %+v)", k, got, l)
+		}
+	}
+	return nil
+}
+
+func (e *entry) String() string {
+	switch {
+	case !e.ended.Load():
+		return "waiting"
+	case e.ticket != nil:
+		return "admitted"
+	default:
+		return e.reason.String()
+	}
+}
+
+var states = map[string]mulberrylink.UpstreamState{
+	"up":       mulberrylink.UpstreamUp,
+	"cold":     mulberrylink.UpstreamCold,
+	"draining": mulberrylink.UpstreamDraining,
+}
+
+var classes = map[string]admission.Class{
+	"":         admission.Success,
+	"failure":  admission.Failure,
+	"shed":     admission.Shed,
+	"refused":  admission.Refused,
+	"died":     admission.Died,
+	"canceled": admission.Canceled,
+}
+
+func reasons() map[string]mulberrylink.Reason {
+	m := map[string]mulberrylink.Reason{}
+	for _, r := range mulberrylink.Reasons() {
+		m[r.String()] = r
+	}
+	return m
+}
+
+func number(s string) int {
+	n, _ := strconv.Atoi(s)
+	return n
+}
+
+func duration(s string) time.Duration {
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
--- /dev/null
+++ b/coordination/dispatch/fakes_test.go
@@ -0,0 +1,222 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/dispatch"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
+)
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+// step is what the fake forwarder does with one try.
+type step struct {
+	outcome mulberrylink.Outcome
+	reason  mulberrylink.Reason
+	status  int
+	after   time.Duration
+	reads   bool // reads the body
+	runs    bool // the upstream runs the request
+	// stubborn ignores that the caller has gone.
+	stubborn bool
+}
+
+// forwarder follows its steps in order and notes what was sent where.
+type forwarder struct {
+	mu       sync.Mutex
+	steps    []step
+	nodes    []string
+	attempts []int
+	tries    []int
+	bodies   []string
+	alone    []bool
+	runs     int // completed or started runs on an upstream
+	canceled int
+	closed   int // bodies of answers
+}
+
+func (f *forwarder) Forward(ctx context.Context, n mulberrylink.Node, r *mulberrylink.Request, attempt int, alone bool) mulberrylink.Result {
+	s := f.next(n, r, attempt, alone)
+	done := ctx.Done()
+	if s.stubborn {
+		done = nil
+	}
+	select {
+	case <-done:
+		f.mu.Lock()
+		f.canceled++
+		f.mu.Unlock()
+		return mulberrylink.Result{Outcome: mulberrylink.Unknown, Reason: mulberrylink.ReasonCanceled}
+	case <-time.After(s.after):
+	}
+	res := mulberrylink.Result{Outcome: s.outcome, Reason: s.reason}
+	if s.outcome == mulberrylink.Answered {
+		res.Answer = &mulberrylink.Answer{Status: s.status, Body: &answerBody{strings.NewReader(n.Name), f}}
+	}
+	return res
+}
+
+func (f *forwarder) next(n mulberrylink.Node, r *mulberrylink.Request, attempt int, alone bool) step {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := step{status: 200, runs: true}
+	if len(f.steps) > 0 {
+		s, f.steps = f.steps[0], f.steps[1:]
+	}
+	f.nodes = append(f.nodes, n.Name)
+	f.attempts = append(f.attempts, attempt)
+	f.tries = append(f.tries, r.Tries)
+	f.alone = append(f.alone, alone)
+	if s.runs {
+		f.runs++
+	}
+	if s.reads && r.Body != nil {
+		text, _ := io.ReadAll(r.Body)
+		f.bodies = append(f.bodies, string(text))
+	}
+	return s
+}
+
+type answerBody struct {
+	io.Reader
+	f *forwarder
+}
+
+func (b *answerBody) Close() error {
+	b.f.mu.Lock()
+	defer b.f.mu.Unlock()
+	b.f.closed++
+	return nil
+}
+
+// picker returns its nodes in order and counts the tries that are not ended.
+type picker struct {
+	mu    sync.Mutex
+	nodes []string
+	open  map[string]int
+}
+
+func (p *picker) Pick(_ *mulberrylink.Request, tried []string) (mulberrylink.Node, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.nodes {
+		if !slices.Contains(tried, n) {
+			p.open[n]++
+			return mulberrylink.Node{Name: n}, true
+		}
+	}
+	return mulberrylink.Node{}, false
+}
+
+func (p *picker) PickAlone(r *mulberrylink.Request, tried []string) (mulberrylink.Node, bool) {
+	return p.Pick(r, tried)
+}
+
+func (p *picker) Observe(node string, _ mulberrylink.Result, _ time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[node]--
+}
+
+// claimer follows its states in order, then grants.
+type claimer struct {
+	states   []dispatch.ClaimState
+	asked    int
+	released int
+}
+
+func (c *claimer) Claim(context.Context, *mulberrylink.Request) dispatch.Claim {
+	c.asked++
+	if len(c.states) == 0 {
+		return dispatch.Claim{}
+	}
+	s := c.states[0]
+	c.states = c.states[1:]
+	if s == dispatch.Finished {
+		return dispatch.Claim{State: s, Answer: &mulberrylink.Answer{Status: 201, Body: io.NopCloser(strings.NewReader("first"))}}
+	}
+	return dispatch.Claim{State: s}
+}
+
+func (c *claimer) Release(ctx context.Context, _ *mulberrylink.Request) {
+	if ctx.Err() == nil {
+		c.released++
+	}
+}
+
+// budget allows a number of further tries, and hedges after a fixed time.
+type budget struct {
+	left  int
+	hedge time.Duration
+	ends  int
+}
+
+func (b *budget) First(*mulberrylink.Request) {}
+
+func (b *budget) Retry(r *mulberrylink.Request, res mulberrylink.Result, _ int) bool {
+	if res.Outcome == mulberrylink.Unknown && (!r.Idempotent || res.Reason == mulberrylink.ReasonCrashed) {
+		return false
+	}
+	return b.take()
+}
+
+func (b *budget) HedgeAfter(*mulberrylink.Request) (time.Duration, bool) {
+	return b.hedge, b.hedge > 0
+}
+
+func (b *budget) Hedge(*mulberrylink.Request, int) bool { return b.take() }
+
+func (b *budget) take() bool {
+	b.left--
+	return b.left >= 0
+}
+
+func (b *budget) Took(*mulberrylink.Request, time.Duration) {}
+
+func (b *budget) End(*mulberrylink.Request, mulberrylink.Result) { b.ends++ }
+
+type suspects struct {
+	verdict   suspect.Verdict
+	convicted int
+}
+
+func (s *suspects) Verdict(uint64) suspect.Verdict { return s.verdict }
+
+func (s *suspects) Convict(uint64) []suspect.Notice {
+	s.convicted++
+	return nil
+}
+
+// stand is a dispatcher among fakes.
+type stand struct {
+	forwarder forwarder
+	picker    picker
+	claimer   claimer
+	budget    budget
+	suspects  suspects
+	*dispatch.Dispatcher
+}
+
+func newStand() *stand {
+	s := &stand{
+		picker: picker{nodes: []string{"n1", "n2", "n3"}, open: map[string]int{}},
+		budget: budget{left: 10},
+	}
+	s.Dispatcher = dispatch.New(dispatch.Config{
+		Clock:     clock{},
+		Forwarder: &s.forwarder,
+		Claimer:   &s.claimer,
+		Picker:    &s.picker,
+		Suspects:  &s.suspects,
+		Budget:    &s.budget,
+	})
+	return s
+}
--- /dev/null
+++ b/coordination/retry/budget_test.go
@@ -0,0 +1,114 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"pgregory.net/rapid"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/retry"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+var (
+	busy   = mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: mulberrylink.ReasonBusy}
+	silent = mulberrylink.Result{Outcome: mulberrylink.Unknown, Reason: mulberrylink.ReasonSilent}
+)
+
+// TestBudgetModel guards against a storm of retries: whatever the order of
+// calls, retries and hedges together never exceed the share of first tries plus
+// the reserve of each refill period.
+func TestBudgetModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := &clock{now: time.Unix(1000, 0)}
+		percent := rapid.IntRange(0, 50).Draw(rt, "percent")
+		reserve := rapid.IntRange(1, 5).Draw(rt, "reserve")
+		b := retry.New(retry.Config{
+			Clock:   c,
+			Percent: func(string) int { return percent },
+			Reserve: reserve,
+			Refill:  time.Second,
+		})
+		r := &mulberrylink.Request{Service: "registry", Idempotent: true}
+		start, first, extra := c.now, 0, 0
+		count := func(taken bool) {
+			if taken {
+				extra++
+			}
+			periods := int(c.now.Sub(start)/time.Second) + 1
+			if 100*extra > first*percent+100*reserve*periods {
+				rt.Fatalf("%d extra tries after %d first ones in %d periods", extra, first, periods)
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"first": func(*rapid.T) { first++; b.First(r) },
+			"retry": func(*rapid.T) { count(b.Retry(r, busy, 0)) },
+			"hedge": func(*rapid.T) { count(b.Hedge(r, 0)) },
+			"wait": func(rt *rapid.T) {
+				c.now = c.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
+
+// TestEligible guards against running a request twice and against sending a
+// request that crashes upstreams to the next one.
+func TestEligible(t *testing.T) {
+	crashed := mulberrylink.Result{Outcome: mulberrylink.Unknown, Reason: mulberrylink.ReasonCrashed}
+	tests := []struct {
+		name       string
+		idempotent bool
+		res        mulberrylink.Result
+		want       bool
+	}{
+		{"answered", true, mulberrylink.Result{}, false},
+		{"refused filing", false, busy, true},
+		{"unknown filing", false, silent, false},
+		{"unknown lookup", true, silent, true},
+		{"crashed lookup", true, crashed, false},
+		{"crasher", true, mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: mulberrylink.ReasonCrasher}, false},
+		{"conflict", true, mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: mulberrylink.ReasonConflict}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := &mulberrylink.Request{Idempotent: tt.idempotent}
+			is.New(t).Equal(retry.Eligible(r, tt.res), tt.want)
+		})
+	}
+}
+
+// TestBounds guards against tries that multiply along a chain of calls and
+// against tries that cannot finish in time.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	c := &clock{now: time.Unix(1000, 0)}
+	reg := metrics.NewRegistry()
+	b := retry.New(retry.Config{Clock: c, Registry: reg, Reserve: 100, Extra: 2})
+	r := &mulberrylink.Request{Service: "registry", Idempotent: true, Deadline: c.now.Add(time.Second)}
+	is.True(b.Retry(r, silent, 1))
+	is.True(!b.Retry(r, silent, 2)) // spent here
+	r.Tries = 2
+	is.True(!b.Retry(r, silent, 0)) // spent above
+	is.True(!b.Hedge(r, 0))
+	r.Tries = 0
+
+	_, ok := b.HedgeAfter(r)
+	is.True(!ok) // no latencies yet
+	for i := range 200 {
+		b.Took(r, time.Duration(i+1)*time.Millisecond)
+	}
+	c.now = c.now.Add(100 * time.Millisecond) // percentiles are kept that long
+	after, ok := b.HedgeAfter(r)
+	is.True(ok)
+	is.True(after > 170*time.Millisecond && after < 210*time.Millisecond) // p95 within 10%
+	r.Deadline = c.now.Add(50 * time.Millisecond)                         // the median is 100 ms
+	is.True(!b.Retry(r, silent, 0))
+	is.Equal(metrics.GetOrRegisterCounter("retried.silent", reg).Count(), int64(1))
+	is.Equal(metrics.GetOrRegisterCounter("denied.silent", reg).Count(), int64(3))
+}
--- /dev/null
+++ b/coordination/selection/fakes_test.go
@@ -0,0 +1,90 @@
+package selection_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/selection"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+type source struct{ nodes []mulberrylink.Node }
+
+func (s *source) Nodes(string) []mulberrylink.Node { return s.nodes }
+
+// random returns a seeded source of bits that is safe for concurrent use.
+func random(seed uint64) func() uint64 {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, 0))
+	return func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Uint64()
+	}
+}
+
+// nodes returns n usable nodes spread over the domains d0, d1 and so on.
+func nodes(n, domains int) []mulberrylink.Node {
+	var out []mulberrylink.Node
+	for i := range n {
+		out = append(out, mulberrylink.Node{
+			Name:     fmt.Sprintf("n%d", i),
+			Domain:   fmt.Sprintf("d%d", i%domains),
+			Service:  "registry",
+			Upstream: mulberrylink.UpstreamUp,
+			Slots:    6,
+		})
+	}
+	return out
+}
+
+var request = &mulberrylink.Request{Service: "registry"}
+
+// bed is a policy with a clock and nodes under control of the test.
+type bed struct {
+	selection.Policy
+	clock  clock
+	source source
+}
+
+func newBed(ns []mulberrylink.Node, change func(*selection.Config)) *bed {
+	b := &bed{clock: clock{now: time.Unix(1000, 0)}, source: source{nodes: ns}}
+	cfg := selection.Config{Clock: &b.clock, Rand: random(1), Nodes: &b.source}
+	if change != nil {
+		change(&cfg)
+	}
+	b.Policy = selection.NewPicker(cfg)
+	return b
+}
+
+// answer ends a try with status 200 and the given load.
+func (b *bed) answer(node string, took time.Duration, l mulberrylink.Load) {
+	res := mulberrylink.Result{Answer: &mulberrylink.Answer{Status: 200}, Load: l}
+	b.Observe(node, res, took)
+}
+
+// share picks n times, each answered at once, and counts the picks by node.
+func (b *bed) share(n int, took func(node string) time.Duration, load func(node string) mulberrylink.Load) map[string]int {
+	count := map[string]int{}
+	for range n {
+		node, ok := b.Pick(request, nil)
+		if !ok {
+			count["none"]++
+			continue
+		}
+		count[node.Name]++
+		b.answer(node.Name, took(node.Name), load(node.Name))
+		b.clock.now = b.clock.now.Add(5 * time.Millisecond)
+	}
+	return count
+}
+
+func evenly(string) time.Duration { return 10 * time.Millisecond }
+
+func idle(string) mulberrylink.Load { return mulberrylink.Load{Limit: 6, Latency: 0.01} }
--- /dev/null
+++ b/coordination/suspect/list_test.go
@@ -0,0 +1,205 @@
+package suspect_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func newList(c *clock) *suspect.List { return suspect.New(suspect.Config{Clock: c}) }
+
+const (
+	bad       = uint64(1)
+	upstreams = 5
+)
+
+// fleet is five upstreams with a list on each node. Every caller sends its
+// request again after each answer. Notices reach the other nodes before a
+// caller is answered, in any order, some of them twice.
+type fleet struct {
+	clock   clock
+	lists   []*suspect.List
+	running [][]uint64
+	alone   []bool
+	dead    []bool
+	deaths  int
+	refused int
+}
+
+func newFleet() *fleet {
+	f := &fleet{clock: clock{now: time.Unix(1000, 0)}}
+	for range upstreams {
+		f.lists = append(f.lists, newList(&f.clock))
+		f.running = append(f.running, nil)
+	}
+	f.alone, f.dead = make([]bool, upstreams), make([]bool, upstreams)
+	return f
+}
+
+func (f *fleet) spread(rt *rapid.T, notices []suspect.Notice) {
+	for _, l := range f.lists {
+		mixed := slices.Concat(notices, notices)
+		for _, n := range rapid.Permutation(mixed).Draw(rt, "order") {
+			l.Merge(n)
+		}
+	}
+}
+
+// send starts a request on an upstream if its verdict permits that.
+func (f *fleet) send(rt *rapid.T, at int, fingerprint uint64) {
+	if f.dead[at] || f.alone[at] || slices.ContainsFunc(f.running, func(r []uint64) bool {
+		return slices.Contains(r, fingerprint)
+	}) {
+		return
+	}
+	switch f.lists[at].Verdict(fingerprint) {
+	case suspect.Refuse:
+		f.refused++
+		if fingerprint != bad {
+			rt.Fatalf("innocent %d refused", fingerprint)
+		}
+		return
+	case suspect.Alone:
+		if len(f.running[at]) > 0 {
+			return
+		}
+		f.alone[at] = true
+	case suspect.Normal:
+	}
+	f.running[at] = append(f.running[at], fingerprint)
+}
+
+// finish ends everything on an upstream; the bad request takes it down.
+func (f *fleet) finish(rt *rapid.T, at int) {
+	prints := f.running[at]
+	alone := f.alone[at]
+	f.running[at], f.alone[at] = nil, false
+	if slices.Contains(prints, bad) {
+		f.dead[at] = true
+		f.deaths++
+		f.spread(rt, f.lists[at].Crashed(prints))
+	} else {
+		for _, p := range prints {
+			f.spread(rt, f.lists[at].Completed(p, alone))
+		}
+	}
+	if f.deaths > 2 {
+		rt.Fatalf("one request took down %d of %d upstreams", f.deaths, upstreams)
+	}
+}
+
+// TestCrasher guards against a request that takes down upstream after upstream,
+// and against innocent requests that stay suspect.
+func TestCrasher(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet()
+		at := rapid.IntRange(0, upstreams-1)
+		rt.Repeat(map[string]func(*rapid.T){
+			"send":   func(rt *rapid.T) { f.send(rt, at.Draw(rt, "at"), rapid.Uint64Range(1, 6).Draw(rt, "print")) },
+			"finish": func(rt *rapid.T) { f.finish(rt, at.Draw(rt, "at")) },
+			"return": func(rt *rapid.T) { f.dead[at.Draw(rt, "at")] = false },
+			"wait":   func(rt *rapid.T) { f.clock.now = f.clock.now.Add(time.Second) },
+		})
+		for i := range upstreams {
+			f.finish(rt, i)
+			f.dead[i] = false
+		}
+		for p := uint64(2); p <= 6; p++ {
+			f.send(rt, 0, p)
+			f.finish(rt, 0)
+			if v := f.lists[1].Verdict(p); v != suspect.Normal {
+				rt.Fatalf("innocent %d is %s after a complete run", p, v)
+			}
+		}
+	})
+}
+
+// TestMerge guards against nodes that disagree for ever: the order and number
+// of arrivals of the same notices must not matter.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := &clock{now: time.Unix(1000, 0)}
+		notices := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) suspect.Notice {
+			return suspect.Notice{
+				Print: rapid.Uint64Range(1, 3).Draw(t, "print"),
+				Stage: rapid.Uint32Range(0, 8).Draw(t, "stage"),
+				Until: c.now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "s")) * time.Second),
+			}
+		}), 1, 10).Draw(rt, "notices")
+		a, b := newList(c), newList(c)
+		for _, n := range notices {
+			a.Merge(n)
+		}
+		for _, n := range rapid.Permutation(slices.Concat(notices, notices)).Draw(rt, "again") {
+			b.Merge(n)
+		}
+		if !slices.Equal(a.Notices(), b.Notices()) {
+			rt.Fatalf("%v and %v", a.Notices(), b.Notices())
+		}
+	})
+}
+
+// TestDeadlines guards against a request that is refused for ever after a
+// coincidence, and against one that takes an upstream down at every expiry.
+func TestDeadlines(t *testing.T) {
+	is := is.New(t)
+	c := &clock{now: time.Unix(1000, 0)}
+	l := newList(c)
+	l.Crashed([]uint64{bad, 2})
+	l.Crashed([]uint64{bad})
+	is.Equal(l.Verdict(bad), suspect.Refuse)
+	c.now = c.now.Add(suspect.DefaultRefuseFor)
+	is.Equal(l.Verdict(bad), suspect.Alone)
+	is.Equal(l.Verdict(2), suspect.Normal) // its record has ended
+	l.Crashed([]uint64{bad})
+	c.now = c.now.Add(2*suspect.DefaultRefuseFor - 1)
+	is.Equal(l.Verdict(bad), suspect.Refuse) // twice as long
+	c.now = c.now.Add(1)
+	l.Completed(bad, true)
+	is.Equal(l.Verdict(bad), suspect.Normal)
+	l.Crashed([]uint64{bad})
+	is.Equal(l.Verdict(bad), suspect.Alone) // a new death after it was cleared
+}
+
+// TestSize guards against memory that grows with the number of fingerprints,
+// and against losing convictions first.
+func TestSize(t *testing.T) {
+	is := is.New(t)
+	c := &clock{now: time.Unix(1000, 0)}
+	l := suspect.New(suspect.Config{Clock: c, Size: 100})
+	l.Convict(bad)
+	for i := range uint64(1000) {
+		l.Crashed([]uint64{i + 2, i + 3})
+	}
+	is.Equal(len(l.Notices()), 100)
+	is.Equal(l.Verdict(bad), suspect.Refuse)
+}
+
+// TestTwins states the bounds for a request that runs on two upstreams at once:
+// three deaths for two callers, two for both tries of one hedged request.
+func TestTwins(t *testing.T) {
+	is := is.New(t)
+	c := &clock{now: time.Unix(1000, 0)}
+	l := newList(c)
+	l.Crashed([]uint64{bad, 2})
+	l.Crashed([]uint64{bad, 3})
+	is.Equal(l.Verdict(bad), suspect.Alone) // in company both times: not proven
+	l.Crashed([]uint64{bad})
+	is.Equal(l.Verdict(bad), suspect.Refuse)
+
+	l = newList(c)
+	l.Crashed([]uint64{bad, 2})
+	l.Crashed([]uint64{bad, 3})
+	l.Convict(bad)
+	is.Equal(l.Verdict(bad), suspect.Refuse)
+	is.Equal(len(l.Convict(bad)), 0)
+}
