Count no completions towards growth while the limit is at its slots

The gate also checks for a stall before it admits from the queue, so that a waiting request is not admitted under a limit that is out of date.

--- a/coordination/admission/gate_test.go
+++ b/coordination/admission/gate_test.go
@@ -21,7 +21,13 @@
 		rapid.Check(bubble{t}, func(rt *rapid.T) {
 			m := &model{gate: admission.New(admission.Config{Clock: clock{}}), slots: 6, incarnation: 1}
 			m.gate.Announce(m.slots, 200, mulberrylink.UpstreamUp, 1)
-			m.limit = 1
+			m.earned = rapid.IntRange(0, 40).Draw(rt, "warm")
+			for range m.earned {
+				t, _ := m.gate.Enter(context.Background(), &mulberrylink.Request{}, false)
+				time.Sleep(10 * time.Millisecond)
+				t.Done(admission.Completion{})
+			}
+			m.limit = m.gate.Load().Limit
 			rt.Repeat(map[string]func(*rapid.T){
 				"enter":    m.enter,
 				"alone":    m.enterAlone,
@@ -89,8 +95,11 @@
 }
 
 func (m *model) advance(rt *rapid.T) {
-	time.Sleep(time.Duration(rapid.IntRange(1, 60).Draw(rt, "ms")) * time.Millisecond)
-	m.check(rt, 0)
+	// One check for each admission: the limit may fall between two of them.
+	for range rapid.IntRange(1, 60).Draw(rt, "ms") {
+		time.Sleep(time.Millisecond)
+		m.check(rt, 0)
+	}
 }
 
 func (m *model) announce(rt *rapid.T) {
--- a/coordination/admission/limiter.go
+++ b/coordination/admission/limiter.go
@@ -47,7 +47,11 @@
 
 func (l *limiter) setSlots(n int) {
 	l.slots = max(1, n)
-	l.limit = min(max(1, l.limit), float64(l.slots))
+	l.limit = max(1, l.limit)
+	if l.limit > float64(l.slots) {
+		l.limit = float64(l.slots)
+		l.good = 0
+	}
 }
 
 // restart puts the limit back to cold.
@@ -152,6 +156,10 @@
 
 // grow raises the limit by one after enough completions in line.
 func (l *limiter) grow() {
+	if !l.cold() {
+		l.good = 0 // completions at full slots must not count after the slots grow
+		return
+	}
 	l.good++
 	if l.good < l.whole()*max(1, l.patience) {
 		return
--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -70,6 +70,7 @@
 
 // settle refuses or admits waiting requests after any change of state.
 func (g *Gate) settle(now time.Time) {
+	g.notice(now)
 	closed := g.closed(now)
 	for e := g.waiting.Front(); e != nil; e = g.waiting.Front() {
 		w := e.Value.(*waiter)
--- a/coordination/selection/picker_test.go
+++ b/coordination/selection/picker_test.go
@@ -34,10 +34,15 @@
 	b := newBed(nodes(4, 2), func(c *selection.Config) { c.Domain = "d0" })
 	count := b.share(100, evenly, idle)
 	is.Equal(count["n0"]+count["n2"], 100)
-	for _, near := range []string{"n0", "n2"} {
-		b.Report(near, mulberrylink.Load{InFlight: 6, Limit: 6})
+	near := func(inFlight int) {
+		b.Report("n0", mulberrylink.Load{InFlight: inFlight, Limit: 6})
+		b.Report("n2", mulberrylink.Load{InFlight: inFlight, Limit: 6})
 	}
+	near(1)
 	n, _ := b.Pick(request, nil)
+	is.Equal(n.Domain, "d0")
+	near(6)
+	n, _ = b.Pick(request, nil)
 	is.Equal(n.Domain, "d1")
 }
 
@@ -112,20 +117,39 @@
 	is.Equal(b.share(10, evenly, idle)["n0"], 0)
 }
 
-// TestSlow guards against an upstream that answers, but far too late.
+// TestSlow guards against an upstream that answers late, and against one that
+// is never tried again after it was slow.
 func TestSlow(t *testing.T) {
 	is := is.New(t)
 	b := newBed(nodes(5, 1), nil)
 	b.share(200, evenly, idle)
 	slow := func(node string) time.Duration {
 		if node == "n0" {
-			return 100 * time.Millisecond
+			return 40 * time.Millisecond // too little for an ejection
 		}
 		return evenly(node)
 	}
 	count := b.share(1000, slow, idle)
-	is.True(count["n0"] < 50) // a fair share is 200
-	is.True(count["n0"] > 0)  // it is tried again
+	is.True(count["n0"] < 100) // a fair share is 200
+	is.True(count["n0"] > 0)
+}
+
+// TestLatencyOutlier guards against work for an upstream far above the median
+// when the others are full.
+func TestLatencyOutlier(t *testing.T) {
+	is := is.New(t)
+	b := newBed(nodes(5, 1), nil)
+	b.share(200, evenly, idle)
+	for range 5 {
+		b.answer("n0", 100*time.Millisecond, idle("n0"))
+	}
+	for _, n := range []string{"n1", "n2", "n3", "n4"} {
+		b.Report(n, mulberrylink.Load{InFlight: 30, Limit: 6})
+	}
+	for range 20 {
+		n, _ := b.Pick(request, nil)
+		is.True(n.Name != "n0")
+	}
 }
 
 // TestClosed guards against sending work to a node that has just refused it as
@@ -135,7 +159,7 @@
 	b := newBed(nodes(3, 1), nil)
 	b.Pick(request, []string{"n1", "n2"})
 	b.Observe("n0", mulberrylink.Result{
-		Outcome: mulberrylink.NotRun, Reason: mulberrylink.ReasonDraining, Load: mulberrylink.Load{InFlight: 1},
+		Outcome: mulberrylink.NotRun, Reason: mulberrylink.ReasonDraining, Load: mulberrylink.Load{At: b.clock.now},
 	}, time.Millisecond)
 	is.Equal(b.share(40, evenly, idle)["n0"], 0)
 	b.clock.now = b.clock.now.Add(300 * time.Millisecond) // the report is dropped
@@ -147,8 +171,10 @@
 	is := is.New(t)
 	r := &mulberrylink.Request{Service: "registry", Print: 42}
 	var first string
-	for _, self := range []string{"n0", "n3", "n7"} {
-		b := newBed(nodes(9, 3), func(c *selection.Config) { c.Self, c.Domain = self, "d1" })
+	for i, self := range []string{"n0", "n3", "n7"} {
+		b := newBed(nodes(9, 3), func(c *selection.Config) {
+			c.Self, c.Domain, c.Rand = self, "d1", random(uint64(i))
+		})
 		n, ok := b.PickAlone(r, nil)
 		is.True(ok)
 		if first == "" {
