--- /dev/null
+++ b/coordination/admission/bench_test.go
@@ -0,0 +1,36 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/admission"
+)
+
+// TestAllocations guards against work on the hot path beyond the ticket.
+func TestAllocations(t *testing.T) {
+	g := admission.New(admission.Config{Clock: clock{}})
+	g.Announce(6, 200, mulberrylink.UpstreamUp, 1)
+	r := &mulberrylink.Request{}
+	n := testing.AllocsPerRun(100, func() { cycle(g, r) })
+	if n > 1 {
+		t.Fatalf("%v allocations for one request", n)
+	}
+}
+
+func BenchmarkGate(b *testing.B) {
+	g := admission.New(admission.Config{Clock: clock{}})
+	g.Announce(6, 200, mulberrylink.UpstreamUp, 1)
+	r := &mulberrylink.Request{}
+	b.ReportAllocs()
+	for b.Loop() {
+		cycle(g, r)
+	}
+}
+
+func cycle(g *admission.Gate, r *mulberrylink.Request) {
+	t, _ := g.Enter(context.Background(), r, false)
+	t.Responded()
+	t.Done(admission.Completion{Class: admission.Success})
+}
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -19,7 +19,7 @@
 	minSamples   = 100 // fewer do not support a 95th percentile
 	latencyUnit  = 100 * time.Microsecond
 	longest      = 10 * time.Minute
-	digits       = 1 // 16 KB for each service and window; an error of 10% is enough
+	digits       = 1 // 2,628 bytes for each window; an error of 10% is enough
 	hedgePercent = 95
 )
 
