--- /dev/null
+++ b/coordination/membership/core.go
@@ -0,0 +1,302 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// Defaults of Config.
+const (
+	DefaultPeriod         = time.Second
+	DefaultAckTimeout     = 300 * time.Millisecond
+	DefaultSuspectPeriods = 3
+	DefaultBytesPerSecond = 12_000
+)
+
+// Intervals and counts of the protocol.
+const (
+	indirectProbes = 3
+	pushFanout     = 3
+	joinInterval   = time.Second
+	syncPageDelay  = 50 * time.Millisecond
+	syncInterval   = 2 * time.Second
+	reconnectEvery = 5 * time.Second
+	goneRetention  = 24 * time.Hour // how long reconnect tries a lost address
+	noteRetention  = 30 * time.Second
+)
+
+// Config describes one member.
+type Config struct {
+	// Self is the member's own record. Its Incarnation should be the start
+	// time in milliseconds, so that a restart is newer than what others hold.
+	Self mulberrylink.Node
+	// Seeds are addresses of members to join through.
+	Seeds []string
+	// Period is the time between two probes.
+	Period time.Duration
+	// AckTimeout is how long a direct probe may take before others are asked
+	// to probe.
+	AckTimeout time.Duration
+	// SuspectPeriods times the logarithm of the group size is how many
+	// periods a suspect has to refute.
+	SuspectPeriods int
+	// BytesPerSecond limits what the member sends.
+	BytesPerSecond int
+	// Rand chooses members.
+	Rand *rand.Rand
+	// OnNote is called for each note of another member, once.
+	OnNote func(kind uint8, data []byte)
+}
+
+// member is what a Core knows of another node.
+type member struct {
+	node     mulberrylink.Node
+	deadline time.Time // suspect becomes gone, gone is forgotten
+}
+
+// probe is a ping that has not been answered.
+type probe struct {
+	target   string
+	seq      uint32
+	indirect time.Time // when others are asked
+	deadline time.Time // when the target becomes a suspect
+	asked    bool
+}
+
+// relay is a ping sent on behalf of another member.
+type relay struct {
+	to       string
+	seq      uint32
+	deadline time.Time
+}
+
+// Core is the protocol as a step function. It is not safe for concurrent use.
+type Core struct {
+	cfg     Config
+	self    mulberrylink.Node
+	members map[string]*member
+	order   []string // probe order, reshuffled after each round
+	next    int
+	probes  map[uint32]*probe
+	relays  map[uint32]relay
+	seq     uint32
+	queue   queue
+	bucket  bucket
+	notes   map[uint64]time.Time
+	out     []Packet
+
+	nextProbe     time.Time
+	nextJoin      time.Time
+	nextSync      time.Time
+	nextReconnect time.Time
+	cursor        string // name after which the next sync page starts
+	joined        bool   // the first synchronisation has reached its last page
+
+	maxVersion     uint64
+	maxVersionAddr string
+	lastHeard      time.Time
+	changed        bool
+	sentBytes      uint64
+}
+
+// NewCore returns a member that knows only itself.
+func NewCore(cfg Config) *Core {
+	if cfg.Period == 0 {
+		cfg.Period = DefaultPeriod
+	}
+	if cfg.AckTimeout == 0 {
+		cfg.AckTimeout = DefaultAckTimeout
+	}
+	if cfg.SuspectPeriods == 0 {
+		cfg.SuspectPeriods = DefaultSuspectPeriods
+	}
+	if cfg.BytesPerSecond == 0 {
+		cfg.BytesPerSecond = DefaultBytesPerSecond
+	}
+	return &Core{
+		cfg:     cfg,
+		self:    cfg.Self,
+		members: make(map[string]*member),
+		probes:  make(map[uint32]*probe),
+		relays:  make(map[uint32]relay),
+		notes:   make(map[uint64]time.Time),
+		bucket:  newBucket(cfg.BytesPerSecond),
+		changed: true,
+	}
+}
+
+// Tick advances the protocol to now and returns the datagrams to send.
+func (c *Core) Tick(now time.Time) []Packet {
+	c.bucket.refill(now)
+	c.expire(now)
+	c.checkProbes(now)
+	c.join(now)
+	c.sync(now)
+	c.reconnect(now)
+	if !now.Before(c.nextProbe) {
+		c.nextProbe = now.Add(c.cfg.Period)
+		c.probeNext(now)
+	}
+	if c.queue.urgent() {
+		c.push()
+	}
+	return c.take()
+}
+
+// Update changes the member's own record and spreads it at once. The
+// incarnation is raised here; f must not change it.
+func (c *Core) Update(f func(self *mulberrylink.Node)) {
+	before := c.self
+	f(&c.self)
+	if c.self == before {
+		return
+	}
+	c.changed = true
+	version := before
+	version.Version = c.self.Version
+	if c.self == version {
+		c.announceVersion()
+		return
+	}
+	c.self.Incarnation = before.Incarnation + 1
+	c.queue.addRecord(c.self.Name, true)
+}
+
+// Broadcast spreads a note to all members. Notes longer than 512 bytes are
+// refused.
+func (c *Core) Broadcast(now time.Time, kind uint8, data []byte) bool {
+	n, ok := c.newNote(now, kind, data)
+	if ok {
+		c.queue.addNote(n)
+	}
+	return ok
+}
+
+// BroadcastService sends a note directly to every node of a service, then
+// spreads it to all members.
+func (c *Core) BroadcastService(now time.Time, service string, kind uint8, data []byte) bool {
+	n, ok := c.newNote(now, kind, data)
+	if !ok {
+		return false
+	}
+	for _, name := range c.sortedNames() {
+		m := c.members[name]
+		if m.node.Service == service && m.node.State != mulberrylink.NodeGone {
+			d := c.datagram(KindPush)
+			d.Notes = []Note{n}
+			c.send(m.node.Addr, d)
+		}
+	}
+	c.queue.addNote(n)
+	return true
+}
+
+func (c *Core) newNote(now time.Time, kind uint8, data []byte) (Note, bool) {
+	if len(data) > maxNoteBytes {
+		return Note{}, false
+	}
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(c.self.Name)
+	_, _ = h.Write([]byte{kind})
+	_, _ = h.Write(data)
+	id := h.Sum64() ^ c.cfg.Rand.Uint64()
+	c.notes[id] = now.Add(noteRetention)
+	return Note{Kind: kind, ID: id, Data: data}, true
+}
+
+// Self returns the member's own record.
+func (c *Core) Self() mulberrylink.Node { return c.self }
+
+// All returns every record that is not gone, the member's own included,
+// sorted by name.
+func (c *Core) All() []mulberrylink.Node {
+	all := []mulberrylink.Node{c.self}
+	for _, m := range c.members {
+		if m.node.State != mulberrylink.NodeGone {
+			all = append(all, m.node)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// MaxVersion returns the highest configuration version that another member
+// reported, and that member's address.
+func (c *Core) MaxVersion() (version uint64, addr string) {
+	return c.maxVersion, c.maxVersionAddr
+}
+
+// LastHeard returns when the last datagram of another member arrived.
+func (c *Core) LastHeard() time.Time { return c.lastHeard }
+
+// SentBytes returns the bytes sent so far, datagram headers included.
+func (c *Core) SentBytes() uint64 { return c.sentBytes }
+
+// takeChanged reports whether the records changed since the last call.
+func (c *Core) takeChanged() bool {
+	changed := c.changed
+	c.changed = false
+	return changed
+}
+
+func (c *Core) take() []Packet {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// suspectTimeout grows with the logarithm of the group size, because a
+// refutation needs that many rounds to reach everyone.
+func (c *Core) suspectTimeout() time.Duration {
+	rounds := math.Max(1, math.Log10(float64(len(c.members)+1)))
+	return time.Duration(float64(c.cfg.SuspectPeriods) * rounds * float64(c.cfg.Period))
+}
+
+func (c *Core) expire(now time.Time) {
+	for name, m := range c.members {
+		switch m.node.State {
+		case mulberrylink.NodeSuspect:
+			if now.After(m.deadline) {
+				m.node.State = mulberrylink.NodeGone
+				c.setGone(now, m)
+				c.queue.addRecord(name, false)
+			}
+		case mulberrylink.NodeGone:
+			if now.After(m.deadline) {
+				delete(c.members, name)
+			}
+		case mulberrylink.NodeReady, mulberrylink.NodeLeaving:
+		}
+	}
+	for id, deadline := range c.notes {
+		if now.After(deadline) {
+			delete(c.notes, id)
+		}
+	}
+	for seq, r := range c.relays {
+		if now.After(r.deadline) {
+			delete(c.relays, seq)
+		}
+	}
+}
+
+func (c *Core) setGone(now time.Time, m *member) {
+	c.changed = true
+	m.deadline = now.Add(goneRetention)
+}
+
+func (c *Core) sortedNames() []string {
+	names := make([]string, 0, len(c.members))
+	for name := range c.members {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/coordination/membership/group.go
@@ -0,0 +1,182 @@
+package membership
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// tickInterval is how often a Group advances its Core. It bounds how long an
+// urgent update waits.
+const tickInterval = 50 * time.Millisecond
+
+// inboxSize is the number of datagrams and commands that may wait for the
+// group's goroutine. Datagrams above it are dropped, as the network may do.
+const inboxSize = 1024
+
+// Sender sends datagrams. It must not block.
+type Sender interface {
+	Send(addr string, d Datagram)
+}
+
+// Group runs a Core on one goroutine.
+type Group struct {
+	core   *Core
+	sender Sender
+	inbox  chan Datagram
+	cmds   chan func(now time.Time)
+	done   chan struct{}
+
+	view      atomic.Pointer[view]
+	lastHeard atomic.Int64 // Unix time in nanoseconds
+	version   atomic.Pointer[versionView]
+	sentBytes atomic.Uint64
+}
+
+// view is an immutable snapshot of the records.
+type view struct {
+	all       []mulberrylink.Node
+	byService map[string][]mulberrylink.Node
+}
+
+type versionView struct {
+	version uint64
+	addr    string
+}
+
+// NewGroup returns a group that starts with Run.
+func NewGroup(cfg Config, s Sender) *Group {
+	g := &Group{
+		core:   NewCore(cfg),
+		sender: s,
+		inbox:  make(chan Datagram, inboxSize),
+		cmds:   make(chan func(time.Time), inboxSize),
+		done:   make(chan struct{}),
+	}
+	g.version.Store(&versionView{})
+	g.publish()
+	return g
+}
+
+// Run drives the group until ctx ends.
+func (g *Group) Run(ctx context.Context) {
+	defer close(g.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.send(g.core.Tick(now))
+		case d := <-g.inbox:
+			g.send(g.core.Receive(time.Now(), d))
+		case cmd := <-g.cmds:
+			cmd(time.Now())
+		}
+		g.publish()
+	}
+}
+
+// Deliver hands a received datagram to the group.
+func (g *Group) Deliver(d Datagram) {
+	select {
+	case g.inbox <- d:
+	default:
+	}
+}
+
+// Nodes returns the nodes of a service that are not gone. The slice must not
+// be changed.
+func (g *Group) Nodes(service string) []mulberrylink.Node {
+	return g.view.Load().byService[service]
+}
+
+// All returns every node that is not gone, this one included. The slice must
+// not be changed.
+func (g *Group) All() []mulberrylink.Node { return g.view.Load().all }
+
+// Update changes this node's record and spreads it at once.
+func (g *Group) Update(f func(self *mulberrylink.Node)) {
+	g.do(func(time.Time) {
+		g.core.Update(f)
+		g.send(g.core.take())
+	})
+}
+
+// Broadcast spreads a note to all members.
+func (g *Group) Broadcast(kind uint8, data []byte) {
+	g.do(func(now time.Time) {
+		g.core.Broadcast(now, kind, data)
+		g.send(g.core.take())
+	})
+}
+
+// BroadcastService sends a note directly to the nodes of a service and spreads
+// it to all members. It returns when the direct datagrams have been sent.
+func (g *Group) BroadcastService(service string, kind uint8, data []byte) {
+	sent := make(chan struct{})
+	g.do(func(now time.Time) {
+		g.core.BroadcastService(now, service, kind, data)
+		g.send(g.core.take())
+		close(sent)
+	})
+	select {
+	case <-sent:
+	case <-g.done:
+	}
+}
+
+// MaxVersion returns the highest configuration version that another member
+// reported, and that member's address.
+func (g *Group) MaxVersion() (version uint64, addr string) {
+	v := g.version.Load()
+	return v.version, v.addr
+}
+
+// LastHeard returns when the last datagram of another member arrived.
+func (g *Group) LastHeard() time.Time {
+	ns := g.lastHeard.Load()
+	if ns == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, ns)
+}
+
+// SentBytes returns the bytes sent so far, datagram headers included.
+func (g *Group) SentBytes() uint64 { return g.sentBytes.Load() }
+
+func (g *Group) do(cmd func(now time.Time)) {
+	select {
+	case g.cmds <- cmd:
+	case <-g.done:
+	}
+}
+
+func (g *Group) send(packets []Packet) {
+	for _, p := range packets {
+		g.sender.Send(p.To, p.Datagram)
+	}
+}
+
+func (g *Group) publish() {
+	if heard := g.core.LastHeard(); !heard.IsZero() {
+		g.lastHeard.Store(heard.UnixNano())
+	}
+	g.sentBytes.Store(g.core.SentBytes())
+	if v, addr := g.core.MaxVersion(); v != g.version.Load().version {
+		g.version.Store(&versionView{version: v, addr: addr})
+	}
+	if !g.core.takeChanged() {
+		return
+	}
+	v := &view{all: g.core.All(), byService: make(map[string][]mulberrylink.Node)}
+	for _, n := range v.all {
+		if n.Service != "" {
+			v.byService[n.Service] = append(v.byService[n.Service], n)
+		}
+	}
+	g.view.Store(v)
+}
--- /dev/null
+++ b/coordination/membership/queue.go
@@ -0,0 +1,106 @@
+package membership
+
+import (
+	"math/bits"
+	"sort"
+)
+
+// transmitFactor times the logarithm of the group size is how often one update
+// is sent before it is dropped from the queue.
+const transmitFactor = 3
+
+// update is a record or a note that is still being spread.
+type update struct {
+	name   string // node name of a record, empty for a note
+	note   Note
+	sent   int
+	urgent bool
+}
+
+// queue holds the updates that a node still spreads. A newer update of the
+// same node replaces the older one.
+type queue struct {
+	items []*update
+}
+
+func (q *queue) addRecord(name string, urgent bool) {
+	for _, u := range q.items {
+		if u.name == name {
+			u.sent = 0
+			u.urgent = u.urgent || urgent
+			return
+		}
+	}
+	q.items = append(q.items, &update{name: name, urgent: urgent})
+}
+
+func (q *queue) addNote(n Note) {
+	q.items = append(q.items, &update{note: n, urgent: true})
+}
+
+// urgent reports whether an update waits to be pushed at once.
+func (q *queue) urgent() bool {
+	for _, u := range q.items {
+		if u.urgent {
+			return true
+		}
+	}
+	return false
+}
+
+// clearUrgent marks the pushed updates as sent; they go on riding on other
+// datagrams.
+func (q *queue) clearUrgent(pushed []*update) {
+	for _, u := range pushed {
+		u.urgent = false
+	}
+}
+
+// fill adds to d the updates that were sent least often, as many as fit, and
+// returns them. Updates that were sent often enough leave the queue.
+func (q *queue) fill(d *Datagram, members int, record func(name string) (Record, bool)) []*update {
+	sort.SliceStable(q.items, func(i, j int) bool { return q.items[i].sent < q.items[j].sent })
+	room := maxDatagramBytes - d.size()
+	var used []*update
+	for _, u := range q.items {
+		if room < recordExtraBytes {
+			break
+		}
+		size, ok := u.attach(d, room, record)
+		if !ok {
+			continue
+		}
+		room -= size
+		u.sent++
+		used = append(used, u)
+	}
+	q.expire(transmitFactor * bits.Len(uint(members)))
+	return used
+}
+
+func (u *update) attach(d *Datagram, room int, record func(name string) (Record, bool)) (int, bool) {
+	if u.name == "" {
+		if u.note.size() > room {
+			return 0, false
+		}
+		d.Notes = append(d.Notes, u.note)
+		return u.note.size(), true
+	}
+	r, ok := record(u.name)
+	if !ok || r.size() > room {
+		return 0, false
+	}
+	d.Records = append(d.Records, r)
+	return r.size(), true
+}
+
+func (q *queue) expire(limit int) {
+	kept := q.items[:0]
+	for _, u := range q.items {
+		if u.sent < limit {
+			kept = append(kept, u)
+		}
+	}
+	clear(q.items[len(kept):])
+	q.items = kept
+}
--- /dev/null
+++ b/coordination/membership/script_test.go
@@ -0,0 +1,302 @@
+package membership
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// network runs cores on one fake clock and delivers their datagrams.
+type network struct {
+	now     time.Time
+	rand    *rand.Rand
+	cores   map[string]*Core
+	dead    map[string]bool
+	cut     map[[2]string]bool // from, to
+	loss    float64
+	packets []flight
+	notes   map[string]int
+	steps   int
+}
+
+type flight struct {
+	at   time.Time
+	from string
+	p    Packet
+}
+
+const (
+	step  = 10 * time.Millisecond
+	delay = 2 * time.Millisecond
+	ticks = int(tickInterval / step)
+)
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
+		cores: map[string]*Core{}, dead: map[string]bool{}, cut: map[[2]string]bool{}, notes: map[string]int{},
+	}
+}
+
+func (n *network) start(name, service string) {
+	incarnation := uint64(n.now.UnixMilli())
+	n.dead[name] = false
+	n.cores[name] = NewCore(Config{
+		Self: mulberrylink.Node{
+			Name: name, Addr: name, Domain: "d1", Service: service,
+			Incarnation: incarnation, Upstream: mulberrylink.UpstreamUp, Slots: 6,
+		},
+		Seeds:  []string{"n000", "n001", "n002"},
+		Rand:   rand.New(rand.NewPCG(n.rand.Uint64(), 2)),
+		OnNote: func(uint8, []byte) { n.notes[name]++ },
+	})
+}
+
+func (n *network) names() []string {
+	var names []string
+	for name := range n.cores {
+		if !n.dead[name] {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (n *network) step() {
+	n.now = n.now.Add(step)
+	if n.steps++; n.steps%ticks == 0 {
+		for _, name := range n.names() {
+			c := n.cores[name]
+			c.adopt()
+			n.post(name, c.Tick(n.now))
+		}
+	}
+	for len(n.packets) > 0 && !n.packets[0].at.After(n.now) {
+		f := n.packets[0]
+		n.packets = n.packets[1:]
+		c, ok := n.cores[f.p.To]
+		if !ok || n.dead[f.p.To] || n.cut[[2]string{f.from, f.p.To}] || n.rand.Float64() < n.loss {
+			continue
+		}
+		n.post(f.p.To, c.Receive(n.now, f.p.Datagram))
+	}
+}
+
+// adopt does what the node program does when it hears of a newer
+// configuration: it fetches it and reports the version as its own.
+func (c *Core) adopt() {
+	if v, _ := c.MaxVersion(); v > c.self.Version {
+		c.Update(func(s *mulberrylink.Node) { s.Version = v })
+	}
+}
+
+func (n *network) post(from string, packets []Packet) {
+	for _, p := range packets {
+		n.packets = append(n.packets, flight{at: n.now.Add(delay), from: from, p: p})
+	}
+}
+
+func (n *network) run(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); {
+		n.step()
+	}
+}
+
+// within steps until cond holds at every live core, and reports how long that
+// took.
+func (n *network) within(d time.Duration, cond func(name string, c *Core) bool) (time.Duration, bool) {
+	start := n.now
+	for n.now.Sub(start) <= d {
+		all := true
+		for _, name := range n.names() {
+			if !cond(name, n.cores[name]) {
+				all = false
+				break
+			}
+		}
+		if all {
+			return n.now.Sub(start), true
+		}
+		n.step()
+	}
+	return d, false
+}
+
+func stateOf(c *Core, name string) string {
+	if c.self.Name == name {
+		return c.self.State.String()
+	}
+	m, ok := c.members[name]
+	if !ok {
+		return "unknown"
+	}
+	return m.node.State.String()
+}
+
+// Guards the promises of the node group under loss, kills, restarts and
+// partitions. Each script in testdata names the failure it is about.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	for _, file := range files {
+		for seed := uint64(1); seed <= 3; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", filepath.Base(file), seed), func(t *testing.T) {
+				t.Parallel()
+				runScript(t, file, seed)
+			})
+		}
+	}
+}
+
+func runScript(t *testing.T, file string, seed uint64) {
+	f, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	n := newNetwork(seed)
+	sc := bufio.NewScanner(f)
+	for line := 1; sc.Scan(); line++ {
+		words := strings.Fields(sc.Text())
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		if err := n.command(t, words); err != nil {
+			t.Fatalf("%s:%d: %s: %v", file, line, sc.Text(), err)
+		}
+	}
+}
+
+func (n *network) command(t *testing.T, w []string) error {
+	switch w[0] {
+	case "nodes":
+		count, _ := strconv.Atoi(w[1])
+		for i := range count {
+			n.start(fmt.Sprintf("n%03d", i), fmt.Sprintf("s%d", i%3))
+		}
+	case "run":
+		n.run(duration(w[1]))
+	case "loss":
+		n.loss, _ = strconv.ParseFloat(w[1], 64)
+	case "kill":
+		n.dead[w[1]] = true
+	case "restart":
+		n.start(w[1], "s0")
+	case "clock":
+		n.now = n.now.Add(duration(w[1]))
+	case "leave":
+		n.cores[w[1]].Update(func(s *mulberrylink.Node) { s.State = mulberrylink.NodeLeaving })
+	case "version":
+		v, _ := strconv.ParseUint(w[2], 10, 64)
+		n.cores[w[1]].Update(func(s *mulberrylink.Node) { s.Version = v })
+	case "note":
+		n.cores[w[1]].BroadcastService(n.now, w[2], 1, []byte("x"))
+	case "split", "heal":
+		n.split(w[0] == "split", w[1:])
+	case "expect":
+		return n.expect(t, w[1:])
+	default:
+		return fmt.Errorf("unknown command %q", w[0])
+	}
+	return nil
+}
+
+// split cuts the named nodes from all others, both ways.
+func (n *network) split(on bool, side []string) {
+	in := map[string]bool{}
+	for _, s := range side {
+		in[s] = true
+	}
+	for a := range n.cores {
+		for b := range n.cores {
+			if in[a] != in[b] {
+				n.cut[[2]string{a, b}] = on
+			}
+		}
+	}
+}
+
+func (n *network) expect(t *testing.T, w []string) error {
+	limit := duration(w[len(w)-1])
+	var cond func(name string, c *Core) bool
+	switch w[0] {
+	case "known": // expect known COUNT within D
+		count, _ := strconv.Atoi(w[1])
+		cond = func(_ string, c *Core) bool { return len(c.All()) == count }
+	case "state": // expect state NODE STATE within D
+		cond = func(name string, c *Core) bool { return name == w[1] || stateOf(c, w[1]) == w[2] }
+	case "service": // expect service NODE SERVICE within D
+		cond = func(name string, c *Core) bool {
+			return name == w[1] || c.members[w[1]].node.Service == w[2]
+		}
+	case "version": // expect version V within D
+		v, _ := strconv.ParseUint(w[1], 10, 64)
+		cond = func(_ string, c *Core) bool { return c.self.Version == v }
+	case "notes": // expect notes COUNT within D
+		count, _ := strconv.Atoi(w[1])
+		cond = func(string, *Core) bool { return len(n.notes) == count }
+	case "bytes": // expect bytes PER_SECOND over D
+		return n.expectBytes(t, w[1], limit)
+	case "steady": // expect steady COUNT over D
+		return n.expectSteady(w[1], limit)
+	default:
+		return fmt.Errorf("unknown expectation %q", w[0])
+	}
+	took, ok := n.within(limit, cond)
+	if !ok {
+		return fmt.Errorf("not reached in %s", limit)
+	}
+	t.Logf("%s after %s", strings.Join(w, " "), took)
+	return nil
+}
+
+func (n *network) expectBytes(t *testing.T, perSecond string, over time.Duration) error {
+	limit, _ := strconv.ParseFloat(perSecond, 64)
+	before := map[string]uint64{}
+	for _, name := range n.names() {
+		before[name] = n.cores[name].SentBytes()
+	}
+	n.run(over)
+	worst := 0.0
+	for _, name := range n.names() {
+		worst = max(worst, float64(n.cores[name].SentBytes()-before[name])/over.Seconds())
+	}
+	t.Logf("most bytes per second sent by one node: %.0f", worst)
+	if worst > limit {
+		return fmt.Errorf("a node sent %.0f bytes per second", worst)
+	}
+	return nil
+}
+
+func (n *network) expectSteady(count string, over time.Duration) error {
+	want, _ := strconv.Atoi(count)
+	for end := n.now.Add(over); n.now.Before(end); {
+		n.step()
+		for _, name := range n.names() {
+			if got := len(n.cores[name].All()); got != want {
+				return fmt.Errorf("%s knows %d members", name, got)
+			}
+		}
+	}
+	return nil
+}
+
+func duration(s string) time.Duration {
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
--- /dev/null
+++ b/coordination/membership/sync.go
@@ -0,0 +1,133 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// join asks the seeds for records until another member is known.
+func (c *Core) join(now time.Time) {
+	if now.Before(c.nextJoin) || c.alive() > 0 {
+		return
+	}
+	c.nextJoin = now.Add(joinInterval)
+	for _, addr := range c.randomSeeds(pushFanout) {
+		c.requestPage(addr)
+	}
+}
+
+// sync asks a random member for the next page of records. The first pass after
+// joining is fast; afterwards a slow pass repairs what updates have missed.
+func (c *Core) sync(now time.Time) {
+	if now.Before(c.nextSync) {
+		return
+	}
+	c.nextSync = now.Add(syncInterval)
+	if !c.joined {
+		c.nextSync = now.Add(syncPageDelay)
+	}
+	for _, m := range c.randomMembers(1, "") {
+		c.requestPage(m.node.Addr)
+	}
+}
+
+// reconnect pings one address that should be a member and is not: a seed, or a
+// member that was lost. This joins two halves of the group after a partition.
+func (c *Core) reconnect(now time.Time) {
+	if now.Before(c.nextReconnect) {
+		return
+	}
+	c.nextReconnect = now.Add(reconnectEvery)
+	var addrs []string
+	known := make(map[string]bool)
+	for _, name := range c.sortedNames() {
+		m := c.members[name]
+		if m.node.State != mulberrylink.NodeGone {
+			known[m.node.Addr] = true
+		} else {
+			addrs = append(addrs, m.node.Addr)
+		}
+	}
+	for _, addr := range c.cfg.Seeds {
+		if !known[addr] && addr != c.self.Addr {
+			addrs = append(addrs, addr)
+		}
+	}
+	if len(addrs) > 0 {
+		c.requestPage(addrs[c.cfg.Rand.IntN(len(addrs))])
+	}
+}
+
+func (c *Core) alive() int {
+	n := 0
+	for _, m := range c.members {
+		if m.node.State != mulberrylink.NodeGone {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Core) randomSeeds(n int) []string {
+	var seeds []string
+	for _, addr := range c.cfg.Seeds {
+		if addr != c.self.Addr {
+			seeds = append(seeds, addr)
+		}
+	}
+	c.cfg.Rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	return seeds[:min(n, len(seeds))]
+}
+
+// requestPage asks for the records after the cursor and sends the own record
+// along, so that the receiver learns of this member.
+func (c *Core) requestPage(addr string) {
+	d := c.datagram(KindSyncRequest)
+	d.Target = c.cursor
+	d.Records = []Record{recordOf(c.self)}
+	c.send(addr, d)
+}
+
+// sendPage answers with the records that follow the requested name. It is
+// dropped when the byte limit is reached; the requester asks again.
+func (c *Core) sendPage(req Datagram) {
+	d := c.datagram(KindSyncReply)
+	d.Target = req.Target
+	d.Last = true
+	room := maxDatagramBytes - d.size()
+	for _, n := range c.All() {
+		if n.Name <= req.Target || n.Name == req.From {
+			continue
+		}
+		r := recordOf(n)
+		if r.size() > room {
+			d.Last = false
+			break
+		}
+		room -= r.size()
+		d.Records = append(d.Records, r)
+	}
+	if c.bucket.take(d.size() + udpOverheadBytes) {
+		c.sentBytes += uint64(d.size() + udpOverheadBytes)
+		c.out = append(c.out, Packet{To: req.Addr, Datagram: d})
+	}
+}
+
+// gotPage moves the cursor behind a page that was asked for.
+func (c *Core) gotPage(now time.Time, d Datagram) {
+	if d.Target != c.cursor {
+		return
+	}
+	if d.Last {
+		c.cursor = ""
+		if len(d.Records) > 0 || c.alive() > 0 {
+			c.joined = true
+		}
+		return
+	}
+	c.cursor = d.Records[len(d.Records)-1].Name
+	if !c.joined {
+		c.nextSync = now
+	}
+}
