Add up, down, load and the ready-made settings of both sites

up starts control hosts, nodes and simulated upstreams from config/SITE, applies the configuration and waits until every node has it. down ends only processes whose command line names their settings file, so a reused process id is never hit. load is open loop and checks every answer against the journals. Not run yet against nodes and control hosts; tests use the simulated upstream.

--- a/cmd/mulberrybench/commands.go
+++ b/cmd/mulberrybench/commands.go
@@ -2,17 +2,182 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
+	"path/filepath"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/deployment"
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/journal"
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/load"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/upstream"
 	"github.com/mulberrylink/mulberrylink/state/settings"
 	"github.com/mulberrylink/mulberrylink/transport/events"
 )
 
 func commands() []*cli.Command {
-	return []*cli.Command{upstreamCommand()}
+	return []*cli.Command{
+		upCommand(),
+		downCommand(),
+		loadCommand(),
+		upstreamCommand(),
+		settingsCommand(),
+	}
+}
+
+func binFlag() cli.Flag {
+	return &cli.StringFlag{Name: "bin", Usage: "`DIR` of the programs", Value: "bin"}
+}
+
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Usage: "`DIR` of the site", Value: "config/association"}
+}
+
+func runFlag() cli.Flag {
+	return &cli.StringFlag{Name: "run", Usage: "`DIR` for what the run writes", Value: "run"}
+}
+
+func upCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "up",
+		Usage: "start a deployment and return when it is ready",
+		Description: `Starts control hosts, nodes and simulated upstreams as processes of their own,
+applies the base file and the overlays of the site, and writes RUN/processes.
+
+Example:
+  mulberrybench up --bin bin --config config/lanterns --run run`,
+		Flags: []cli.Flag{binFlag(), configFlag(), runFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			begin := time.Now()
+			o := deployment.Options{Bin: c.String("bin"), Config: c.String("config"), Run: c.String("run")}
+			d, err := deployment.Up(ctx, o)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("outcome=ready processes=%d version=%d took=%s\n", len(d.Units), d.Version, time.Since(begin).Round(time.Millisecond))
+			return nil
+		},
+	}
+}
+
+func downCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "down",
+		Usage: "stop the deployment that RUN/processes lists",
+		Description: `Stops exactly the listed processes, and only those whose command line still
+names their settings file.
+
+Example:
+  mulberrybench down --run run`,
+		Flags: []cli.Flag{runFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return deployment.Down(ctx, c.String("run"))
+		},
+	}
+}
+
+func settingsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "settings",
+		Usage: "write the settings of each process of a site",
+		Description: `Reads CONFIG/deployment.ini and writes CONFIG/processes/NAME.ini.
+
+Example:
+  mulberrybench settings --config config/association`,
+		Flags: []cli.Flag{configFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return deployment.WriteSettings(c.String("config"))
+		},
+	}
+}
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "send an open-loop load to a running deployment",
+		Description: `Sends lookups, uploads and keyed filings to all nodes in RUN/processes, checks
+every answer, compares the outcomes with the journals in RUN/journal, and prints
+one line for each route. Latency counts from the intended start.
+
+Example:
+  mulberrybench load --run run --rate 300 --for 20s --seed 7`,
+		Flags: []cli.Flag{
+			runFlag(),
+			&cli.FloatFlag{Name: "rate", Usage: "requests per second, at most 5000", Value: 200},
+			&cli.DurationFlag{Name: "for", Usage: "length of the run, at most 10m", Value: 10 * time.Second},
+			&cli.DurationFlag{Name: "warm", Usage: "first part that is not measured"},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the schedule; a run directory takes each seed once"},
+			&cli.IntFlag{Name: "cap", Usage: "largest number of requests in flight", Value: 1000},
+			&cli.DurationFlag{Name: "timeout", Usage: "timeout of a request", Value: 5 * time.Second},
+			&cli.IntFlag{Name: "repeat", Usage: "send every Nth answered filing again, 0 for none", Value: 20},
+		},
+		Action: runLoad,
+	}
+}
+
+// Bounds that keep a mistyped flag from loading the machine.
+const (
+	maxRate = 5000
+	maxFor  = 10 * time.Minute
+	maxCap  = 20000
+)
+
+func runLoad(ctx context.Context, c *cli.Command) error {
+	rate, length, inFlight := c.Float("rate"), c.Duration("for"), c.Int("cap")
+	if rate <= 0 || rate > maxRate || length <= 0 || length > maxFor || inFlight < 1 || inFlight > maxCap {
+		return errors.Newf("rate must be from 0 to %d, for from 0 to %s, cap from 1 to %d", maxRate, maxFor, maxCap)
+	}
+	seed := c.Uint64("seed")
+	if !c.IsSet("seed") {
+		seed = uint64(time.Now().UnixNano())
+	}
+	entries, weight, err := targets(c.String("run"))
+	if err != nil {
+		return err
+	}
+	mix := load.Mix(weight)
+	shots := load.Schedule(load.Plan{Seed: seed, Rate: rate, For: length, Mix: mix})
+	g := load.New(load.Options{
+		Entries: entries, Cap: inFlight, Timeout: c.Duration("timeout"), Warm: c.Duration("warm"), Repeat: c.Int("repeat"),
+	})
+	rep := g.Run(ctx, mix, shots)
+	fmt.Print(rep.Print())
+	lines, err := journal.ReadDir(filepath.Join(c.String("run"), "journal"))
+	if err != nil {
+		return err
+	}
+	v := load.Check(rep, lines)
+	fmt.Printf("seed=%d took=%s %s\n", seed, rep.Took.Round(time.Millisecond), v)
+	if !v.OK() {
+		return errors.Newf("outcomes are not correct: %q", v.Notes)
+	}
+	return nil
+}
+
+// targets returns the fronts of the nodes and an equal weight for each service
+// that has an upstream.
+func targets(run string) ([]string, map[string]float64, error) {
+	all, err := deployment.ReadProcesses(run)
+	if err != nil {
+		return nil, nil, err
+	}
+	var entries []string
+	weight := make(map[string]float64)
+	for _, p := range all {
+		switch p.Kind {
+		case deployment.KindNode:
+			entries = append(entries, p.Addr)
+		case deployment.KindUpstream:
+			weight[p.Service()] = 1
+		}
+	}
+	if len(entries) == 0 {
+		return nil, nil, errors.Newf("%s lists no node; start a deployment with: mulberrybench up", filepath.Join(run, "processes"))
+	}
+	return entries, weight, nil
 }
 
 func upstreamCommand() *cli.Command {
--- /dev/null
+++ b/cmd/mulberrybench/deployment/deployment_test.go
@@ -0,0 +1,101 @@
+package deployment
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestParseProcess(t *testing.T) {
+	is := is.New(t)
+	line := "name=node-registry-1 kind=node domain=d1 pid=123 addr=127.0.0.1:9101"
+	p, err := ParseProcess(line)
+	is.NoErr(err)
+	is.Equal(p.String(), line)
+	is.Equal(p.Service(), "registry")
+	for _, bad := range []string{
+		"",
+		"name=a kind=node domain=d1 pid=x addr=b",
+		"name=a kind=node domain=d1 pid=1 addr=b", // process 1 is never ours
+		"name=a kind=node domain=d1 pid=123",
+		"name=a kind=node domain=d1 pid=123 addr=b more=c",
+	} {
+		_, err := ParseProcess(bad)
+		is.True(err != nil)
+	}
+}
+
+// Guards against ending a process that got the id of one of ours later.
+func TestDownSparesReusedPID(t *testing.T) {
+	is := is.New(t)
+	run := t.TempDir()
+	path, err := settingsPath(run, "node-a-1")
+	is.NoErr(err)
+	// A shell that waits in a builtin keeps its own command line.
+	ours := exec.Command("sh", "-c", "read line", path)
+	other := exec.Command("sh", "-c", "read line", path+".other")
+	for _, c := range []*exec.Cmd{ours, other} {
+		in, err := c.StdinPipe()
+		is.NoErr(err)
+		is.NoErr(c.Start())
+		t.Cleanup(func() { in.Close(); c.Wait() })
+	}
+	is.NoErr(writeProcesses(run, []Process{
+		{Name: "node-a-1", Kind: KindNode, Domain: "d1", PID: ours.Process.Pid, Addr: "x"},
+		{Name: "node-a-2", Kind: KindNode, Domain: "d1", PID: other.Process.Pid, Addr: "x"},
+	}))
+	is.NoErr(Down(t.Context(), run))
+	is.True(ours.Wait() != nil)                       // ended by a signal
+	is.NoErr(other.Process.Signal(syscall.Signal(0))) // still runs
+	_, err = os.Stat(filepath.Join(run, "processes"))
+	is.True(os.IsNotExist(err))
+}
+
+// Guards against settings of processes that no longer match deployment.ini.
+func TestSettingsMatchSpec(t *testing.T) {
+	for _, site := range []string{"association", "lanterns"} {
+		t.Run(site, func(t *testing.T) {
+			is := is.New(t)
+			dir := filepath.Join("..", "..", "..", "config", site)
+			spec, err := ReadSpec(dir)
+			is.NoErr(err)
+			files := Render(spec)
+			have, err := filepath.Glob(filepath.Join(dir, "processes", "*.ini"))
+			is.NoErr(err)
+			is.Equal(len(have), len(files))
+			for name, want := range files {
+				got, err := os.ReadFile(filepath.Join(dir, "processes", name+".ini"))
+				is.NoErr(err)
+				is.Equal(string(got), want)
+			}
+		})
+	}
+}
+
+func TestPrepareMovesPortsAndPaths(t *testing.T) {
+	is := is.New(t)
+	run := t.TempDir()
+	is.NoErr(os.MkdirAll(filepath.Join(run, "settings"), 0o755))
+	units, err := prepare(Options{Config: filepath.Join("..", "..", "..", "config", "association"), Run: run, Shift: 2000, Policy: "random"})
+	is.NoErr(err)
+	is.Equal(len(units), 3+9+9)
+	is.Equal(units[0].Addr, "127.0.0.1:11001")
+	is.Equal(units[0].Data, filepath.Join(run, "data", "control-1"))
+	is.Equal(units[3].Kind, KindNode)
+	text, err := os.ReadFile(filepath.Join(run, "settings", units[3].Name+".ini"))
+	is.NoErr(err)
+	is.True(!loopbackAddr.Match(text) || string(shiftPorts(text, 0)) == string(text))
+}
+
+func TestParseApplied(t *testing.T) {
+	is := is.New(t)
+	a, err := parseApplied("outcome=accepted version=3 change=up-1\nmore\n")
+	is.NoErr(err)
+	is.Equal(a, Applied{Outcome: "accepted", Version: 3})
+	_, err = parseApplied("usage")
+	is.True(err != nil)
+}
--- /dev/null
+++ b/cmd/mulberrybench/deployment/ready.go
@@ -0,0 +1,103 @@
+package deployment
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// askTimeout bounds one question to a process.
+const askTimeout = 2 * time.Second
+
+// versionField finds the configuration version in an answer of /version.
+var versionField = regexp.MustCompile(`(?i)\b(?:config|version)"?\s*[:=]\s*"?(\d+)\b`)
+
+// waitReady waits until every process of the kinds is ready.
+func (d *Deployment) waitReady(ctx context.Context, kinds ...string) error {
+	for _, u := range d.Units {
+		if !slices.Contains(kinds, u.Kind) {
+			continue
+		}
+		err := poll(ctx, func() error { return d.ready(ctx, u) })
+		if err != nil {
+			return errors.Wrapf(err, "%s is not ready, see %s", u.Name, filepath.Join(d.Run, "log", u.Name+".log"))
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) ready(ctx context.Context, u Unit) error {
+	if d.gone(u.PID) {
+		return errors.Newf("process %d has ended", u.PID)
+	}
+	target := "http://" + u.Admin + "/ready"
+	if u.Kind == KindUpstream {
+		target = "http://" + u.Addr + "/control/stats"
+	}
+	_, err := ask(ctx, target)
+	return err
+}
+
+// WaitVersion waits until every node that runs has at least the version and
+// returns how long that took.
+func (d *Deployment) WaitVersion(ctx context.Context, version uint64) (time.Duration, error) {
+	begin := time.Now()
+	for _, u := range d.OfKind(KindNode) {
+		err := poll(ctx, func() error {
+			have, err := NodeVersion(ctx, u.Admin)
+			if err == nil && have < version {
+				err = errors.Newf("%s has version %d, not %d", u.Name, have, version)
+			}
+			return err
+		})
+		if err != nil {
+			return 0, err
+		}
+	}
+	return time.Since(begin), nil
+}
+
+// NodeVersion asks a node for its active configuration version.
+func NodeVersion(ctx context.Context, admin string) (uint64, error) {
+	body, err := ask(ctx, "http://"+admin+"/version")
+	if err != nil {
+		return 0, err
+	}
+	if n, err := strconv.ParseUint(string(body), 10, 64); err == nil {
+		return n, nil
+	}
+	m := versionField.FindSubmatch(body)
+	if m == nil {
+		return 0, errors.Newf("no version in the answer %q of %s", body, admin)
+	}
+	return strconv.ParseUint(string(m[1]), 10, 64)
+}
+
+func ask(ctx context.Context, target string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return nil, errors.Wrap(err, "ask")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("%s answered %s: %s", target, resp.Status, body)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/cmd/mulberrybench/deployment/spec.go
@@ -0,0 +1,65 @@
+package deployment
+
+import (
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/state/settings"
+)
+
+// Spec is the content of deployment.ini.
+type Spec struct {
+	Site     string   `ini:"site" required:"true"`
+	Domains  []string `ini:"domains" required:"true"`
+	Control  int      `ini:"control" default:"3" min:"1" max:"7"`
+	Port     int      `ini:"port" required:"true" min:"1024" max:"32268"`
+	Shape    string   `ini:"distribution" default:"lognormal" oneof:"constant,exponential,lognormal"`
+	Sigma    float64  `ini:"sigma" default:"0.5" min:"0" max:"3"`
+	Services []ServiceSpec
+}
+
+// ServiceSpec describes the upstreams of one service.
+type ServiceSpec struct {
+	Name        string
+	Upstreams   int           `ini:"upstreams" required:"true" min:"1" max:"99"`
+	Slots       int           `ini:"slots" required:"true" min:"1"`
+	Connections int           `ini:"connections" default:"200" min:"1"`
+	Mean        time.Duration `ini:"mean" required:"true" min:"1ms"`
+}
+
+// Capacity returns the requests per second that all upstreams serve.
+func (s ServiceSpec) Capacity() float64 {
+	return float64(s.Upstreams*s.Slots) / s.Mean.Seconds()
+}
+
+// ReadSpec reads deployment.ini in the directory.
+func ReadSpec(dir string) (Spec, error) {
+	var spec Spec
+	f, err := settings.Read(filepath.Join(dir, "deployment.ini"))
+	if err != nil {
+		return spec, err
+	}
+	var problems []error
+	for _, s := range f.Sections {
+		kind, name, _ := strings.Cut(s.Name, " ")
+		switch {
+		case s.Name == "deployment":
+			problems = append(problems, settings.DecodeSection(f.Name, s, &spec)...)
+		case kind == "service" && name != "":
+			svc := ServiceSpec{Name: name}
+			problems = append(problems, settings.DecodeSection(f.Name, s, &svc)...)
+			spec.Services = append(spec.Services, svc)
+		default:
+			problems = append(problems, &settings.KeyError{
+				File: f.Name, Line: s.Line, Section: s.Name, Text: "unknown section, expected deployment or service NAME",
+			})
+		}
+	}
+	if len(spec.Services) == 0 {
+		problems = append(problems, &settings.KeyError{File: f.Name, Text: "no section service NAME"})
+	}
+	return spec, errors.Join(problems...)
+}
--- a/cmd/mulberrybench/journal/journal.go
+++ b/cmd/mulberrybench/journal/journal.go
@@ -79,10 +79,10 @@
 	r := bufio.NewReader(f)
 	for n := 1; ; n++ {
 		line, err := r.ReadString('\n')
-		if err == io.EOF && line == "" {
+		if errors.Is(err, io.EOF) && line == "" {
 			return all, nil
 		}
-		if err != nil && err != io.EOF {
+		if err != nil && !errors.Is(err, io.EOF) {
 			return nil, errors.Wrap(err, "read journal")
 		}
 		e, err := parse(line)
--- a/cmd/mulberrybench/upstream/request.go
+++ b/cmd/mulberrybench/upstream/request.go
@@ -198,7 +198,7 @@
 		if size <= int64(s.cfg.Store.Bytes) {
 			keep = append(keep, buf[:n]...)
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
--- /dev/null
+++ b/cmd/mulberrybench/upstream/upstream_test.go
@@ -0,0 +1,155 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/journal"
+	"github.com/mulberrylink/mulberrylink/state/settings"
+	"github.com/mulberrylink/mulberrylink/transport/events"
+)
+
+// start runs the handler of an upstream with the given extra settings.
+func start(t *testing.T, ini string) (*Server, *httptest.Server) {
+	t.Helper()
+	is := is.New(t)
+	dir := t.TempDir()
+	file := filepath.Join(dir, "upstream.ini")
+	text := "[upstream]\nname = u1\nservice = registry\nslots = 2\nshed = 1\n[listen]\nhttp = 127.0.0.1:0\n" +
+		"[work]\ndistribution = constant\nmean = 1ms\n[journal]\nfile = " + filepath.Join(dir, "u1.log") + "\n" + ini
+	is.NoErr(os.WriteFile(file, []byte(text), 0o644))
+	var cfg Settings
+	is.NoErr(settings.Load(file, &cfg))
+	s, err := New(cfg, events.New(io.Discard, "error", "mulberrybench", "u1"))
+	is.NoErr(err)
+	srv := httptest.NewServer(s.Handler())
+	t.Cleanup(srv.Close)
+	return s, srv
+}
+
+func get(t *testing.T, url string, header ...string) (int, http.Header) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Header
+}
+
+// waitFor fails the test when the condition does not come true in time.
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
+
+// Guards against a cold start that tolerates the load it must fail under, and
+// against one that never ends.
+func TestColdStartFallsOver(t *testing.T) {
+	is := is.New(t)
+	s, srv := start(t, "[cold]\nfor = 1m\ncompletions = 2\nslots = 1\nstall = 50ms\n")
+	done := make(chan int, 1)
+	go func() {
+		code, _ := get(t, srv.URL+"/grades", HeaderServiceTime, "100ms")
+		done <- code
+	}()
+	waitFor(t, "the first request runs", func() bool { n, _, _ := s.slots.load(); return n == 1 })
+	code, _ := get(t, srv.URL+"/grades")
+	is.Equal(code, http.StatusInternalServerError) // two at a time in cold start
+	is.Equal(<-done, http.StatusOK)
+	waitFor(t, "the stall is over", func() bool { c, _ := get(t, srv.URL+"/grades"); return c == http.StatusOK })
+	get(t, srv.URL+"/grades")
+	waitFor(t, "the cold start is over", func() bool { return !s.cold.active(time.Now()) })
+	is.Equal(s.Stats().Falls, 1)
+}
+
+// Guards against a shed request that ran, and against a canceled one that
+// keeps its place.
+func TestShedRequestIsNotRun(t *testing.T) {
+	is := is.New(t)
+	s, srv := start(t, "[cold]\nfor = 0s\n")
+	release := make(chan struct{}, 2)
+	for range 2 {
+		go func() {
+			get(t, srv.URL+"/grades", HeaderServiceTime, "300ms")
+			release <- struct{}{}
+		}()
+	}
+	waitFor(t, "both slots are taken", func() bool { n, _, _ := s.slots.load(); return n == 2 })
+	ctx, cancel := context.WithCancel(t.Context())
+	queued := make(chan error, 1)
+	go func() { queued <- s.slots.enter(ctx) }()
+	waitFor(t, "one request waits", func() bool { _, n, _ := s.slots.load(); return n == 1 })
+	code, h := get(t, srv.URL+"/grades?id=shed")
+	is.Equal(code, http.StatusServiceUnavailable)
+	is.Equal(h.Get(HeaderShed), "true")
+	cancel()
+	is.Equal(<-queued, context.Canceled)
+	<-release
+	<-release
+	waitFor(t, "all slots are free", func() bool { n, q, _ := s.slots.load(); return n == 0 && q == 0 })
+	entries, err := journal.Read(s.cfg.Journal.File)
+	is.NoErr(err)
+	is.Equal(len(entries), 2) // the shed request has no line
+}
+
+// Guards against an execution that leaves no line because the upstream died
+// first.
+func TestJournalIsWrittenBeforeTheWork(t *testing.T) {
+	is := is.New(t)
+	s, srv := start(t, "[cold]\nfor = 0s\n")
+	lines := make(chan int, 1)
+	s.crash = func(string) {
+		entries, _ := journal.Read(s.cfg.Journal.File)
+		lines <- len(entries)
+		panic(http.ErrAbortHandler)
+	}
+	code, _ := get(t, srv.URL+"/filings?id=a%20b", HeaderCrash, "true", "Idempotency-Key", `"k 1"`)
+	is.Equal(code, 0) // no answer
+	is.Equal(<-lines, 1)
+	entries, err := journal.Read(s.cfg.Journal.File)
+	is.NoErr(err)
+	is.Equal(entries[0].Key, `"k 1"`)
+	waitFor(t, "the slot is free", func() bool { n, _, _ := s.slots.load(); return n == 0 })
+}
+
+// Guards against an upload that is stored in part and against answers that do
+// not echo their token.
+func TestUploadIsStoredWhole(t *testing.T) {
+	is := is.New(t)
+	s, srv := start(t, "[cold]\nfor = 0s\n[store]\nbytes = 10\n")
+	for path, body := range map[string]string{"/patterns/a": "12345678", "/patterns/b": "87654321"} {
+		req, err := http.NewRequest(http.MethodPut, srv.URL+path, strings.NewReader(body))
+		is.NoErr(err)
+		req.Header.Set(HeaderToken, "tok")
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.Header.Get(HeaderSize), "8")
+		is.Equal(resp.Header.Get(HeaderToken), "tok")
+	}
+	_, a := s.store.get("/patterns/a")
+	_, b := s.store.get("/patterns/b")
+	is.True(a != b) // the bound of 10 bytes holds one of them
+}
