--- a/cmd/mulberrybench/commands.go
+++ b/cmd/mulberrybench/commands.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/demo"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/deployment"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/journal"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/load"
@@ -22,6 +23,8 @@
 	return []*cli.Command{
 		upCommand(),
 		downCommand(),
+		demoCommand(),
+		compareCommand(),
 		loadCommand(),
 		upstreamCommand(),
 		settingsCommand(),
@@ -79,6 +82,29 @@
 	}
 }
 
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run the main workload and check every outcome",
+		Description: `Starts a deployment in RUN/demo on ports of its own, sends lookups, uploads and
+keyed filings, applies a change, takes failure domain d2 out of service and
+returns it, compares the outcomes with the journals, and stops everything. Takes
+under a minute; the exit status is 0 only if every outcome was correct.
+
+Example:
+  mulberrybench demo --bin bin --config config/association --run run`,
+		Flags: []cli.Flag{
+			binFlag(), configFlag(), runFlag(),
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the schedule", Value: 1},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return demo.Run(ctx, os.Stdout, demo.Options{
+				Bin: c.String("bin"), Config: c.String("config"), Run: c.String("run"), Seed: c.Uint64("seed"),
+			})
+		},
+	}
+}
+
 func settingsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "settings",
--- a/cmd/mulberrybench/deployment/ready.go
+++ b/cmd/mulberrybench/deployment/ready.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"path/filepath"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/upstream"
 )
 
 // askTimeout bounds one question to a process.
@@ -101,3 +104,24 @@
 	}
 	return body, nil
 }
+
+// UpstreamStats asks a simulated upstream for its counters.
+func UpstreamStats(ctx context.Context, addr string) (upstream.Stats, error) {
+	var s upstream.Stats
+	body, err := ask(ctx, "http://"+addr+"/control/stats")
+	if err != nil {
+		return s, err
+	}
+	return s, errors.Wrap(json.Unmarshal(body, &s), "counters of upstream")
+}
+
+// WaitWarm waits until an upstream is out of its cold start.
+func (d *Deployment) WaitWarm(ctx context.Context, u Unit) error {
+	return poll(ctx, func() error {
+		s, err := UpstreamStats(ctx, u.Addr)
+		if err == nil && s.Cold {
+			err = errors.Newf("%s is still in its cold start", u.Name)
+		}
+		return err
+	})
+}
--- a/cmd/mulberrybench/upstream/server.go
+++ b/cmd/mulberrybench/upstream/server.go
@@ -57,6 +57,7 @@
 	Probes     int   `json:"probes"`
 	Falls      int   `json:"falls"`
 	Peak       int   `json:"peak"`
+	Cold       bool  `json:"cold"`
 }
 
 // New returns a server with the given settings.
@@ -182,6 +183,7 @@
 		Probes:     s.report.probeCount(),
 		Falls:      s.cold.fallCount(),
 		Peak:       peak,
+		Cold:       s.cold.active(time.Now()),
 	}
 }
 
