--- /dev/null
+++ b/cmd/mulberrycontrol/admin.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/rest"
+)
+
+// Limits of the admin endpoints. The defaults of go-zero are for a public API.
+const (
+	adminTimeout   = 2 * time.Second
+	adminMaxBytes  = 4 << 10
+	adminMaxConns  = 64
+	forceQuitDelay = 24 * time.Hour
+)
+
+// admin serves the admin endpoints.
+type admin struct {
+	srv     *rest.Server
+	metrics metrics.Registry
+	ready   func() bool
+
+	mu   sync.Mutex
+	http *http.Server
+}
+
+func newAdmin(addr string, reg metrics.Registry, ready func() bool) (*admin, error) {
+	// go-zero would end the process 5.5 s after SIGTERM, in the middle of a
+	// call; run decides when it is done.
+	proc.SetTimeToForceQuit(forceQuitDelay)
+	conf, err := adminConf(addr)
+	if err != nil {
+		return nil, err
+	}
+	srv, err := rest.NewServer(conf)
+	if err != nil {
+		return nil, errors.Wrap(err, "set up admin endpoints")
+	}
+	a := &admin{srv: srv, metrics: reg, ready: ready}
+	srv.AddRoutes([]rest.Route{
+		{Method: http.MethodGet, Path: "/health", Handler: text("ok")},
+		{Method: http.MethodGet, Path: "/ready", Handler: a.serveReady},
+		{Method: http.MethodGet, Path: "/metrics", Handler: a.serveMetrics},
+		{Method: http.MethodGet, Path: "/version", Handler: text("version=" + version)},
+	})
+	return a, nil
+}
+
+func adminConf(addr string) (rest.RestConf, error) {
+	var conf rest.RestConf
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return conf, errors.Wrap(err, "admin address")
+	}
+	conf.Host = host
+	if conf.Port, err = strconv.Atoi(port); err != nil {
+		return conf, errors.Wrap(err, "admin port")
+	}
+	conf.Name = "mulberrycontrol"
+	conf.Log.Mode = "console"
+	conf.Timeout = adminTimeout.Milliseconds()
+	conf.MaxBytes = adminMaxBytes
+	conf.MaxConns = adminMaxConns
+	conf.Middlewares = rest.MiddlewaresConf{MaxConns: true, Timeout: true, Recover: true, MaxBytes: true}
+	return conf, nil
+}
+
+// serve returns an error when the address cannot be used.
+func (a *admin) serve() (err error) {
+	// rest panics when it cannot listen.
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Newf("serve admin endpoints: %v", p)
+		}
+	}()
+	a.srv.StartWithOpts(func(srv *http.Server) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.http = srv
+	})
+	return nil
+}
+
+func (a *admin) stop(ctx context.Context) {
+	a.mu.Lock()
+	srv := a.http
+	a.mu.Unlock()
+	if srv != nil {
+		_ = srv.Shutdown(ctx)
+	}
+}
+
+func (a *admin) serveReady(w http.ResponseWriter, r *http.Request) {
+	if !a.ready() {
+		http.Error(w, "no leader is known", http.StatusServiceUnavailable)
+		return
+	}
+	text("ok")(w, r)
+}
+
+func (a *admin) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	metrics.WriteOnce(a.metrics, w)
+}
+
+func text(line string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = fmt.Fprintln(w, line)
+	}
+}
--- /dev/null
+++ b/cmd/mulberrycontrol/run.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/mulberrylink/mulberrylink/coordination/control"
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+	"github.com/mulberrylink/mulberrylink/transport/events"
+	"github.com/mulberrylink/mulberrylink/transport/rpc"
+)
+
+// drainTimeout bounds the wait for calls in progress; each is bounded by less.
+const drainTimeout = 5 * time.Second
+
+// host is a running control host.
+type host struct {
+	cfg    controlSettings
+	log    *log.Logger
+	store  *store
+	server *controlplane.Server
+	rpc    *rpc.Server
+	admin  *admin
+}
+
+// run runs the control host until SIGTERM or SIGINT.
+func run(cfg controlSettings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	l := events.New(os.Stderr, cfg.Log.Level, "mulberrycontrol", cfg.Control.Name)
+	h, err := newHost(cfg, l)
+	if err != nil {
+		return err
+	}
+	return h.serve(ctx)
+}
+
+func newHost(cfg controlSettings, l *log.Logger) (*host, error) {
+	h := &host{cfg: cfg, log: l}
+	reg := metrics.NewRegistry()
+	machine := control.NewMachine()
+	st := openStore(cfg, machine, l)
+	h.store = st
+	h.server = controlplane.NewServer(controlplane.ServerConfig{
+		Name:    cfg.Control.Name,
+		Domain:  cfg.Control.Domain,
+		Log:     st.log,
+		Machine: machine,
+		Now:     time.Now,
+		Observe: func(method, outcome string) {
+			metrics.GetOrRegisterCounter(method+"."+outcome, reg).Inc(1)
+		},
+	})
+	h.rpc = rpc.NewServer(func(err error) { l.Debug().Err(err).Msg("connection lost") })
+	for method, f := range h.server.Methods() {
+		h.rpc.Handle(method, f)
+	}
+	st.register(h.rpc)
+	var err error
+	h.admin, err = newAdmin(cfg.Listen.Admin, reg, h.ready)
+	events.Redirect(l) // after go-zero has set up its own log
+	return h, err
+}
+
+func (h *host) ready() bool {
+	_, addr, self := h.store.log.Leader()
+	return self || addr != ""
+}
+
+func (h *host) serve(ctx context.Context) error {
+	var lc net.ListenConfig
+	lis, err := lc.Listen(ctx, "tcp", h.cfg.Listen.RPC)
+	if err != nil {
+		return errors.Wrap(err, "listen for rpc")
+	}
+	rpcCtx, endRPC := context.WithCancel(context.Background())
+	defer endRPC()
+	failed := make(chan error, 2)
+	go func() { failed <- h.admin.serve() }()
+	go func() { failed <- h.rpc.Serve(rpcCtx, lis) }()
+	h.log.Info().Str("rpc", h.cfg.Listen.RPC).Str("admin", h.cfg.Listen.Admin).Str("version", version).Msg("control host started")
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	}
+	h.stop(endRPC)
+	return err
+}
+
+// stop hands leadership over, finishes the calls in progress and ends the
+// listeners.
+func (h *host) stop(endRPC func()) {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	h.log.Info().Msg("control host stopping")
+	h.store.stop(ctx)
+	h.server.Drain(ctx)
+	endRPC()
+	h.admin.stop(ctx)
+	h.log.Info().Msg("control host stopped")
+}
--- /dev/null
+++ b/cmd/mulberrycontrol/settings.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/state/settings"
+)
+
+// maxMembers is the largest number of hosts that may be dedicated to control.
+const maxMembers = 7
+
+// controlSettings is the settings file of a control host with its members.
+type controlSettings struct {
+	settingsFile
+	members []member
+}
+
+// settingsFile is the settings file as it is read.
+type settingsFile struct {
+	Control struct {
+		Name    string   `ini:"name" required:"true"`
+		Domain  string   `ini:"domain" required:"true"`
+		Data    string   `ini:"data" required:"true"`
+		Members []string `ini:"members" required:"true"`
+	} `ini:"control"`
+	Listen struct {
+		RPC   string `ini:"rpc" required:"true"`
+		Admin string `ini:"admin" required:"true"`
+	} `ini:"listen"`
+	Log struct {
+		Level string `ini:"level" default:"info" oneof:"debug,info,warn,error"`
+	} `ini:"log"`
+}
+
+// member is one item of the key members.
+type member struct {
+	id   uint64
+	name string
+	addr string
+}
+
+func loadSettings(path string) (controlSettings, error) {
+	var cfg controlSettings
+	f, err := settings.Read(path)
+	if err != nil {
+		return cfg, err
+	}
+	if err := settings.Decode(f, &cfg.settingsFile); err != nil {
+		return cfg, err
+	}
+	cfg.members, err = parseMembers(cfg.Control.Members)
+	if err == nil && !slices.ContainsFunc(cfg.members, func(m member) bool { return m.name == cfg.Control.Name }) {
+		err = errors.Newf("name %q is not among the members", cfg.Control.Name)
+	}
+	if err != nil {
+		return cfg, membersError(f, err)
+	}
+	return cfg, nil
+}
+
+// membersError gives err the place of the key members.
+func membersError(f *settings.File, err error) error {
+	out := &settings.KeyError{File: f.Name, Section: "control", Key: "members", Text: err.Error()}
+	s, _ := f.Section("control")
+	for _, k := range s.Keys {
+		if k.Name == out.Key {
+			out.Line = k.Line
+		}
+	}
+	return out
+}
+
+func parseMembers(items []string) ([]member, error) {
+	if len(items) > maxMembers {
+		return nil, errors.Newf("%d members are more than %d", len(items), maxMembers)
+	}
+	var all []member
+	for _, item := range items {
+		name, addr, ok := strings.Cut(item, "@")
+		if !ok || name == "" {
+			return nil, errors.Newf("%q is not of the form name@host:port", item)
+		}
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, errors.Newf("%q: address %q is not of the form host:port", item, addr)
+		}
+		if slices.ContainsFunc(all, func(m member) bool { return m.name == name || m.addr == addr }) {
+			return nil, errors.Newf("%q repeats a name or an address", item)
+		}
+		all = append(all, member{id: memberID(name), name: name, addr: addr})
+	}
+	return all, nil
+}
+
+// memberID derives the identity in the control log from the name. A replaced
+// host gets a new name and so a new identity.
+func memberID(name string) uint64 { return xxhash.Sum64String(name) }
+
+func (c *controlSettings) self() member {
+	i := slices.IndexFunc(c.members, func(m member) bool { return m.name == c.Control.Name })
+	return c.members[i]
+}
--- /dev/null
+++ b/cmd/mulberryctl/explain.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/state/overlay"
+	"github.com/mulberrylink/mulberrylink/state/settings"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "explain a reason, an outcome or a key of the configuration",
+		ArgsUsage: "WORD",
+		Description: "Without a word it lists everything that it can explain.\n\n" +
+			"Examples:\n  mulberryctl explain domainout\n  mulberryctl explain notrun\n  mulberryctl explain keyttl",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return explain(cmd, cmd.Args().First())
+		},
+	}
+}
+
+func explain(cmd *cli.Command, word string) error {
+	found := false
+	var known []string
+	show := func(name string, pairs ...any) {
+		known = append(known, name)
+		if word == "" || word == name {
+			found = true
+			line(cmd, pairs...)
+		}
+	}
+	for _, o := range outcomes {
+		show(o.name, "outcome", o.name, "text", o.text)
+	}
+	for _, r := range mulberrylink.Reasons() {
+		show(r.String(), "reason", r, "text", reasons[r])
+	}
+	for _, k := range overlay.Keys() {
+		show(k.Key, "key", k.Key, "section", k.Section, "unit", k.Unit, "default", k.Default,
+			"min", k.Min, "max", k.Max, "choices", k.Choices, "text", k.Doc)
+	}
+	if !found {
+		slices.Sort(known)
+		return &exitError{code: exitUsage, text: "unknown word " + quote(word) + settings.Suggest(word, known)}
+	}
+	return nil
+}
+
+// explanation is the meaning of one word.
+type explanation struct{ name, text string }
+
+// outcomes are those of requests and of changes.
+var outcomes = []explanation{
+	{"answered", "The caller got the complete answer of an upstream."},
+	{"notrun", "No upstream has started the request. It is safe to send it again."},
+	{"unknown", "The request may have run. Send it again only if running it twice does no harm."},
+	{"accepted", "The change is durable at a quorum of control hosts and becomes active everywhere."},
+	{"conflict", "The change was made from another version than the current one. Compare with diff, edit and apply again."},
+	{"invalid", "The files have the problems that were printed. Nothing was changed."},
+	{"unavailable", "No control host could decide. Send the same change again; its identifier makes sure that it happens once."},
+}
+
+var reasons = map[mulberrylink.Reason]string{
+	mulberrylink.ReasonNone:       "There is no reason, because the request was answered.",
+	mulberrylink.ReasonBusy:       "Every slot and the queue were full until the wait ended.",
+	mulberrylink.ReasonCold:       "The upstream is in cold start and takes little work.",
+	mulberrylink.ReasonDraining:   "The upstream is leaving and takes no new work.",
+	mulberrylink.ReasonLeaving:    "The node is stopping and takes no new work.",
+	mulberrylink.ReasonDomainOut:  "Operators have taken the failure domain out of service.",
+	mulberrylink.ReasonIsolated:   "The node has heard from no peer and no control host for 3 s and cannot know whether its failure domain is in service.",
+	mulberrylink.ReasonNoConfig:   "The node has no confirmed configuration yet.",
+	mulberrylink.ReasonNoUpstream: "No upstream of the service is known that takes work.",
+	mulberrylink.ReasonConnect:    "The connection to the upstream or its node failed before any byte of the request was sent.",
+	mulberrylink.ReasonShed:       "The upstream itself refused the request because it was overloaded.",
+	mulberrylink.ReasonDeadline:   "The deadline of the request passed.",
+	mulberrylink.ReasonBudget:     "The retry budget of the service was spent.",
+	mulberrylink.ReasonFenced:     "The node had already reported this try as never received.",
+	mulberrylink.ReasonCrasher:    "Upstreams crashed while they ran this request, so it is refused until the suspicion expires.",
+	mulberrylink.ReasonNoQuorum:   "No quorum of control hosts could record the claim on the idempotency key.",
+	mulberrylink.ReasonConflict:   "The idempotency key was used before with a different request.",
+	mulberrylink.ReasonPending:    "A request with the same idempotency key is still running.",
+	mulberrylink.ReasonClaimed:    "A request with the same idempotency key has run or may have run, and its answer is not held.",
+	mulberrylink.ReasonLost:       "The connection was lost while the request was running.",
+	mulberrylink.ReasonSilent:     "The connection went silent while the request was running.",
+	mulberrylink.ReasonCrashed:    "The upstream died while it ran the request.",
+	mulberrylink.ReasonCanceled:   "The caller went away.",
+	mulberrylink.ReasonTruncated:  "The answer of the upstream ended before its full length.",
+	mulberrylink.ReasonDepth:      "The chain of nested calls is too deep.",
+	mulberrylink.ReasonBadRequest: "The request is malformed or its body is shorter than its length.",
+	mulberrylink.ReasonBadKey:     "The idempotency key is malformed.",
+	mulberrylink.ReasonTooLarge:   "The headers or the body are too large.",
+	mulberrylink.ReasonNoService:  "The Host header names no service of the configuration.",
+	mulberrylink.ReasonNoRoute:    "The service has no route for this method and path.",
+}
--- /dev/null
+++ b/cmd/mulberryctl/files.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+	"github.com/mulberrylink/mulberrylink/state/overlay"
+	"github.com/mulberrylink/mulberrylink/state/settings"
+	"github.com/mulberrylink/mulberrylink/transport/rpc"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// defaultWait covers two elections of 1.5 s.
+	defaultWait = 6 * time.Second
+)
+
+func fileFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "base", Usage: "base `FILE`", Required: true},
+		&cli.StringSliceFlag{Name: "overlay", Usage: "overlay `FILE`; give it once for each site"},
+	}
+}
+
+func controlFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "control", Usage: "`ADDR[,ADDR]` of the control hosts", Required: true},
+		&cli.DurationFlag{Name: "wait", Usage: "how long to try", Value: defaultWait},
+	}
+}
+
+// sources reads the base file and the overlays that the flags name.
+func sources(cmd *cli.Command) (base overlay.File, overlays []overlay.File, err error) {
+	if base, err = readFile(cmd.String("base")); err != nil {
+		return base, nil, err
+	}
+	for _, name := range cmd.StringSlice("overlay") {
+		f, err := readFile(name)
+		if err != nil {
+			return base, nil, err
+		}
+		overlays = append(overlays, f)
+	}
+	return base, overlays, nil
+}
+
+func readFile(name string) (overlay.File, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return overlay.File{}, errors.Wrap(err, "read configuration")
+	}
+	return overlay.File{Name: name, Data: data}, nil
+}
+
+// merge reads and merges the files that the flags name. Each problem of
+// invalid files becomes one line of output.
+func merge(cmd *cli.Command) (*overlay.Config, error) {
+	base, overlays, err := sources(cmd)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := overlay.Merge(base, overlays)
+	if err != nil {
+		problems(cmd, strings.Split(err.Error(), "\n"))
+		line(cmd, "outcome", "invalid")
+		return nil, &exitError{code: exitInvalid}
+	}
+	return cfg, nil
+}
+
+func problems(cmd *cli.Command, texts []string) {
+	for _, text := range texts {
+		line(cmd, "problem", text)
+	}
+}
+
+// withClient calls f with a client of the control hosts, for at most the time
+// of --wait.
+func withClient(ctx context.Context, cmd *cli.Command, f func(context.Context, *controlplane.Client) error) error {
+	hosts := settings.List(cmd.String("control"))
+	if len(hosts) == 0 {
+		return &exitError{code: exitUsage, text: "--control names no address"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("wait"))
+	defer cancel()
+	pool := rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout, IdlePerAddr: 1})
+	defer pool.Close()
+	return f(ctx, controlplane.NewClient(pool, hosts))
+}
+
+// unavailable ends the program because no control host could answer.
+func unavailable(cmd *cli.Command, err error) error {
+	line(cmd, "outcome", "unavailable", "text", err.Error())
+	return &exitError{code: exitUnavailable}
+}
--- /dev/null
+++ b/cmd/mulberryctl/output.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+)
+
+// line writes one line of key=value pairs; pairs alternates keys and values.
+func line(cmd *cli.Command, pairs ...any) {
+	words := make([]string, 0, len(pairs)/2)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		words = append(words, fmt.Sprintf("%v=%s", pairs[i], quote(fmt.Sprint(pairs[i+1]))))
+	}
+	_, _ = fmt.Fprintln(cmd.Root().Writer, strings.Join(words, " "))
+}
+
+// quote returns s as it is when it is one word, and quoted otherwise.
+func quote(s string) string {
+	if s == "" || strings.ContainsAny(s, " \t\n\r\"=") {
+		return strconv.Quote(s)
+	}
+	return s
+}
--- /dev/null
+++ b/protocol/controlplane/client_operator.go
@@ -0,0 +1,190 @@
+package controlplane
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/control"
+	"github.com/mulberrylink/mulberrylink/state/overlay"
+)
+
+//go:generate stringer -type=ApplyState -linecomment -output=client_operator_string.go
+
+// ApplyState is the outcome of a change.
+type ApplyState uint8
+
+// Outcomes of a change.
+const (
+	// ApplyAccepted means that the change is durable at a quorum.
+	ApplyAccepted ApplyState = iota // accepted
+	// ApplyConflict means that the change was made from another version.
+	ApplyConflict // conflict
+	// ApplyInvalid means that the files are wrong.
+	ApplyInvalid // invalid
+	// ApplyUnavailable means that the change was certainly not accepted.
+	ApplyUnavailable // unavailable
+	// ApplyIndeterminate means that the change may have been accepted. Sending
+	// it again with the same identifier gives its first answer.
+	ApplyIndeterminate // indeterminate
+)
+
+// Change is one change of the configuration.
+type Change struct {
+	// ID identifies the change when it is sent again.
+	ID string
+	// Version is the version that the files were edited from, 0 for the first.
+	Version  uint64
+	Base     overlay.File
+	Overlays []overlay.File
+}
+
+// ApplyReply is the outcome of a change.
+type ApplyReply struct {
+	State ApplyState
+	// Version is the accepted version, or the current one.
+	Version uint64
+	// Problems has one line for each problem of an invalid change.
+	Problems []string
+}
+
+// NodeReport is what one node tells operators about itself.
+type NodeReport struct {
+	Name     string
+	Domain   string
+	Service  string
+	Version  uint64
+	State    mulberrylink.NodeState
+	Upstream mulberrylink.UpstreamState
+	Load     mulberrylink.Load
+	// Until is when the report expires.
+	Until time.Time
+}
+
+// HostStatus is the state of the control host that answered.
+type HostStatus struct {
+	Host    string
+	Domain  string
+	Leading bool
+	// Leader is the address of the leader that the host knows.
+	Leader  string
+	Version uint64
+	Claims  int
+	Nodes   []NodeReport
+}
+
+// Apply asks for a change of the configuration.
+func (c *Client) Apply(ctx context.Context, ch Change) ApplyReply {
+	in := &applyRequest{ID: ch.ID, Version: ch.Version, Base: ch.Base, Overlays: ch.Overlays}
+	out, status := call[applyReply](ctx, c, methodApply, in)
+	switch status {
+	case StatusCommitted:
+		return ApplyReply{State: out.State, Version: out.Version, Problems: out.Problems}
+	case StatusIndeterminate:
+		return ApplyReply{State: ApplyIndeterminate}
+	default:
+		return ApplyReply{State: ApplyUnavailable}
+	}
+}
+
+// Report sends the report to one host; each call goes to the next host, so
+// that all of them come to know the node.
+func (c *Client) Report(ctx context.Context, r NodeReport) Status {
+	if len(c.hosts) == 0 {
+		return StatusUnavailable
+	}
+	addr := c.hosts[int(c.reportTurn.Add(1))%len(c.hosts)]
+	return c.try(ctx, addr, methodReport, r.wire(), &reportReply{})
+}
+
+// Status returns the state of the first host that answers.
+func (c *Client) Status(ctx context.Context) (HostStatus, error) {
+	out, status := call[statusReply](ctx, c, methodStatus, &emptyRequest{})
+	if status != StatusCommitted {
+		return HostStatus{}, errNoHost
+	}
+	s := HostStatus{
+		Host:    out.Host,
+		Domain:  out.Domain,
+		Leading: out.Self,
+		Leader:  out.Leader,
+		Version: out.Version,
+		Claims:  out.Claims,
+	}
+	for _, n := range out.Nodes {
+		s.Nodes = append(s.Nodes, n.report())
+	}
+	return s, nil
+}
+
+// History returns up to limit of the latest changes, newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]control.Change, error) {
+	out, status := call[historyReply](ctx, c, methodHistory, &historyRequest{Limit: limit})
+	if status != StatusCommitted {
+		return nil, errNoHost
+	}
+	return out.Changes, nil
+}
+
+// Sources returns the files of an accepted version, base first. It returns nil
+// when they are no longer kept.
+func (c *Client) Sources(ctx context.Context, version uint64) ([]overlay.File, error) {
+	out, status := call[historyReply](ctx, c, methodHistory, &historyRequest{Version: version})
+	if status != StatusCommitted {
+		return nil, errNoHost
+	}
+	var files []overlay.File
+	for _, f := range out.Files {
+		files = append(files, overlay.File{Name: f.Name, Data: f.Data})
+	}
+	return files, nil
+}
+
+// Members returns the control hosts as the first host that answers knows them.
+func (c *Client) Members(ctx context.Context) ([]Member, error) {
+	out, status := call[membersReply](ctx, c, methodMembers, &emptyRequest{})
+	if status != StatusCommitted {
+		return nil, errNoHost
+	}
+	return out.Members, nil
+}
+
+var errNoHost = errors.New("no control host answered")
+
+func (r NodeReport) wire() *reportRequest {
+	return &reportRequest{
+		Name:     r.Name,
+		Domain:   r.Domain,
+		Service:  r.Service,
+		Version:  r.Version,
+		State:    uint8(r.State),
+		Upstream: uint8(r.Upstream),
+		InFlight: r.Load.InFlight,
+		Limit:    r.Load.Limit,
+		Queued:   r.Load.Queued,
+		Latency:  r.Load.Latency,
+		Cold:     r.Load.Cold,
+		Left:     time.Until(r.Until).Milliseconds(),
+	}
+}
+
+func (m reportRequest) report() NodeReport {
+	return NodeReport{
+		Name:     m.Name,
+		Domain:   m.Domain,
+		Service:  m.Service,
+		Version:  m.Version,
+		State:    mulberrylink.NodeState(m.State),
+		Upstream: mulberrylink.UpstreamState(m.Upstream),
+		Load: mulberrylink.Load{
+			InFlight: m.InFlight,
+			Limit:    m.Limit,
+			Queued:   m.Queued,
+			Latency:  m.Latency,
+			Cold:     m.Cold,
+		},
+		Until: time.Now().Add(time.Duration(m.Left) * time.Millisecond),
+	}
+}
--- /dev/null
+++ b/protocol/controlplane/controlplane_test.go
@@ -0,0 +1,206 @@
+package controlplane_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/control"
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+	"github.com/mulberrylink/mulberrylink/state/overlay"
+	"github.com/mulberrylink/mulberrylink/transport/rpc"
+)
+
+const baseText = "[service registry]\n[route registry POST /filings]\nkeyed = true\n[domain d1]\nregion = delta\n"
+
+// fakeLog lets a test decide what becomes of proposals.
+type fakeLog struct {
+	*controlplane.Local
+	leader string
+	self   bool
+	// propose is used instead of Local's when it is set.
+	propose func(data []byte) ([]byte, controlplane.Status)
+}
+
+func (f *fakeLog) Propose(ctx context.Context, data []byte) ([]byte, controlplane.Status) {
+	if f.propose != nil {
+		return f.propose(data)
+	}
+	return f.Local.Propose(ctx, data)
+}
+
+func (f *fakeLog) Confirm(context.Context) bool { return f.self }
+
+func (f *fakeLog) Leader() (uint64, string, bool) { return 1, f.leader, f.self }
+
+// serve starts a control host on loopback and returns its address.
+func serve(t *testing.T, log func(addr string, m *control.Machine) controlplane.Log) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := lis.Addr().String()
+	m := control.NewMachine()
+	s := controlplane.NewServer(controlplane.ServerConfig{Name: "c1", Log: log(addr, m), Machine: m, Now: time.Now})
+	srv := rpc.NewServer(nil)
+	for method, h := range s.Methods() {
+		srv.Handle(method, h)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ctx, lis) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return addr
+}
+
+func local(addr string, m *control.Machine) controlplane.Log { return controlplane.NewLocal(addr, m) }
+
+func client(t *testing.T, hosts ...string) *controlplane.Client {
+	t.Helper()
+	pool := rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second, IdlePerAddr: 2})
+	t.Cleanup(pool.Close)
+	return controlplane.NewClient(pool, hosts)
+}
+
+func change(id string, version uint64, extra string) controlplane.Change {
+	return controlplane.Change{ID: id, Version: version, Base: overlay.File{Name: "base.ini", Data: []byte(baseText + extra)}}
+}
+
+// Guards against a watcher that misses an accepted version or sees one twice.
+func TestWatchDeliversAcceptedVersions(t *testing.T) {
+	is := is.New(t)
+	c := client(t, serve(t, local))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	seen := make(chan uint64, 10)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- c.Watch(ctx, 0, func(v uint64, raw []byte) {
+			if cfg, err := overlay.Decode(raw); err == nil && cfg.Version == v {
+				seen <- v
+			}
+		})
+	}()
+	for v := uint64(1); v <= 3; v++ {
+		r := c.Apply(ctx, change(string(rune('a'+v)), v-1, ""))
+		is.Equal(r.State, controlplane.ApplyAccepted)
+		is.Equal(r.Version, v)
+		is.Equal(<-seen, v)
+	}
+	is.True(time.Since(c.Heard()) < time.Minute)
+	cancel()
+	is.True(<-ended != nil)
+}
+
+// Guards against two winners for one version, against a resent change that is
+// run again and against invalid files that are accepted.
+func TestApplyOutcomes(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c := client(t, serve(t, local))
+	is.Equal(c.Apply(ctx, change("a", 0, "")).State, controlplane.ApplyAccepted)
+	lost := c.Apply(ctx, change("b", 0, ""))
+	is.Equal(lost, controlplane.ApplyReply{State: controlplane.ApplyConflict, Version: 1})
+	is.Equal(c.Apply(ctx, change("c", 1, "")).Version, uint64(2))
+	again := c.Apply(ctx, change("a", 0, ""))
+	is.Equal(again, controlplane.ApplyReply{State: controlplane.ApplyAccepted, Version: 1})
+	reused := c.Apply(ctx, change("a", 2, ""))
+	is.Equal(reused.State, controlplane.ApplyInvalid)
+	bad := c.Apply(ctx, change("d", 2, "[domain d2]\n"))
+	is.Equal(bad.State, controlplane.ApplyInvalid)
+	is.Equal(bad.Problems, []string{`base.ini:6: section "domain d2" key "region": required key is missing`})
+	v, raw, err := c.Confirmed(ctx)
+	is.NoErr(err)
+	is.Equal(v, uint64(2))
+	files, err := c.Sources(ctx, 1)
+	is.NoErr(err)
+	is.True(len(files) == 1 && bytes.Equal(files[0].Data, []byte(baseText)))
+	is.True(len(raw) > 0)
+}
+
+func claim(request string) controlplane.Claim {
+	return controlplane.Claim{Service: "registry", Key: "k1", Print: 7, Holder: "n1", Request: request, Until: time.Now().Add(time.Hour)}
+}
+
+// Guards against a second run of a keyed request and against a first answer
+// that is lost on the way.
+func TestClaimLifecycle(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c := client(t, serve(t, local))
+	is.Equal(c.Claim(ctx, claim("r1")).State, controlplane.Granted)
+	is.Equal(c.Claim(ctx, claim("r1")).State, controlplane.Granted)
+	is.Equal(c.Claim(ctx, claim("r2")), controlplane.ClaimReply{State: controlplane.Pending, Holder: "n1", Request: "r1"})
+	other := claim("r3")
+	other.Print = 8
+	is.Equal(c.Claim(ctx, other).State, controlplane.Mismatch)
+	is.Equal(c.Finish(ctx, claim("r1"), &controlplane.Answer{Status: 201, Body: []byte("first")}), controlplane.StatusCommitted)
+	done := c.Claim(ctx, claim("r2"))
+	is.Equal(done.State, controlplane.Finished)
+	is.Equal(string(done.Answer.Body), "first")
+}
+
+// Guards against a client that stays with a follower, or with a host that is
+// gone, while another one leads.
+func TestClientFindsTheLeader(t *testing.T) {
+	is := is.New(t)
+	leader := serve(t, local)
+	follower := serve(t, func(addr string, m *control.Machine) controlplane.Log {
+		return &fakeLog{Local: controlplane.NewLocal(addr, m), leader: leader, propose: func([]byte) ([]byte, controlplane.Status) {
+			return nil, controlplane.StatusNotLeader
+		}}
+	})
+	c := client(t, "127.0.0.1:1", follower)
+	is.Equal(c.Apply(context.Background(), change("a", 0, "")).State, controlplane.ApplyAccepted)
+	is.Equal(c.Claim(context.Background(), claim("r1")).State, controlplane.Granted)
+	v, _, err := client(t, follower).Confirmed(context.Background())
+	is.NoErr(err)
+	is.Equal(v, uint64(1))
+}
+
+// Guards against an indeterminate claim that is reported as certainly not
+// granted because a later try was refused.
+func TestIndeterminateClaimStaysIndeterminate(t *testing.T) {
+	is := is.New(t)
+	tries := 0
+	addr := serve(t, func(addr string, m *control.Machine) controlplane.Log {
+		return &fakeLog{Local: controlplane.NewLocal(addr, m), self: true, propose: func([]byte) ([]byte, controlplane.Status) {
+			if tries++; tries == 1 {
+				return nil, controlplane.StatusIndeterminate
+			}
+			return nil, controlplane.StatusUnavailable
+		}}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	is.Equal(client(t, addr).Claim(ctx, claim("r1")).State, controlplane.Indeterminate)
+	is.True(tries > 1)
+	is.Equal(client(t, "127.0.0.1:1").Claim(ctx, claim("r1")).State, controlplane.Unavailable)
+}
+
+// Guards against reports that outlive their deadline or lose a field.
+func TestReportsExpire(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c := client(t, serve(t, local))
+	until := time.Now().Add(200 * time.Millisecond)
+	is.Equal(c.Report(ctx, controlplane.NodeReport{
+		Name: "n1", Domain: "d1", Service: "registry", Version: 4,
+		Upstream: mulberrylink.UpstreamCold, Load: mulberrylink.Load{InFlight: 2, Limit: 6}, Until: until,
+	}), controlplane.StatusCommitted)
+	s, err := c.Status(ctx)
+	is.NoErr(err)
+	is.Equal(len(s.Nodes), 1)
+	is.Equal(s.Nodes[0].Upstream, mulberrylink.UpstreamCold)
+	is.Equal(s.Nodes[0].Load.Limit, 6)
+	time.Sleep(time.Until(until) + 10*time.Millisecond)
+	s, err = c.Status(ctx)
+	is.NoErr(err)
+	is.Equal(len(s.Nodes), 0)
+}
--- /dev/null
+++ b/protocol/controlplane/server_operator.go
@@ -0,0 +1,126 @@
+package controlplane
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberrylink/mulberrylink/coordination/control"
+	"github.com/mulberrylink/mulberrylink/state/codec"
+	"github.com/mulberrylink/mulberrylink/state/overlay"
+)
+
+const (
+	// maxSourceBytes bounds the files of one change: 230 services with ten
+	// sections each take about 200 KB.
+	maxSourceBytes = 1 << 20
+	// maxChangeID is the longest change identifier in bytes.
+	maxChangeID = 128
+	// maxHistory is the largest number of changes in one reply.
+	maxHistory = 1_000
+)
+
+func (s *Server) apply(ctx context.Context, in *applyRequest) *applyReply {
+	if _, _, self := s.cfg.Log.Leader(); !self {
+		return &applyReply{replyHead: s.refusal(StatusNotLeader)}
+	}
+	cmd, problems := changeCommand(in)
+	if len(problems) > 0 {
+		cur, _ := s.cfg.Machine.Current()
+		return &applyReply{State: ApplyInvalid, Version: cur.Version, Problems: problems}
+	}
+	res, head := s.propose(ctx, control.Command{Change: cmd})
+	out := &applyReply{replyHead: head, Version: res.Version}
+	switch res.Code {
+	case control.Accepted:
+		out.State = ApplyAccepted
+	case control.Conflict:
+		out.State = ApplyConflict
+	case control.Reused:
+		out.State = ApplyInvalid
+		out.Problems = []string{fmt.Sprintf("change identifier %q was used before with other files or another version", in.ID)}
+	default:
+		out.State = ApplyUnavailable
+	}
+	return out
+}
+
+// changeCommand validates the files as a whole and makes the command.
+func changeCommand(in *applyRequest) (*control.ChangeCommand, []string) {
+	if problem := checkChange(in); problem != "" {
+		return nil, []string{problem}
+	}
+	cfg, err := overlay.Merge(in.Base, in.Overlays)
+	if err != nil {
+		return nil, strings.Split(err.Error(), "\n")
+	}
+	cfg.Version = in.Version + 1
+	cmd := &control.ChangeCommand{ID: in.ID, From: in.Version, Print: changePrint(in), Raw: overlay.Encode(cfg)}
+	for _, f := range append([]overlay.File{in.Base}, in.Overlays...) {
+		cmd.Files = append(cmd.Files, control.File{Name: f.Name, Data: f.Data})
+	}
+	return cmd, nil
+}
+
+func checkChange(in *applyRequest) string {
+	size := len(in.Base.Data)
+	for _, f := range in.Overlays {
+		size += len(f.Data)
+	}
+	switch {
+	case in.ID == "" || len(in.ID) > maxChangeID:
+		return fmt.Sprintf("change identifier must have 1 to %d bytes", maxChangeID)
+	case size > maxSourceBytes:
+		return fmt.Sprintf("files have %d bytes together, more than %d", size, maxSourceBytes)
+	}
+	return ""
+}
+
+// changePrint covers contents and not names, because a change may be sent
+// again from another directory.
+func changePrint(in *applyRequest) uint64 {
+	data := [][]byte{in.Base.Data}
+	for _, f := range in.Overlays {
+		data = append(data, f.Data)
+	}
+	b, err := codec.Marshal(struct {
+		V uint64
+		D [][]byte
+	}{in.Version, data})
+	if err != nil {
+		panic(err) // byte strings always encode
+	}
+	return xxhash.Sum64(b)
+}
+
+func (s *Server) status(_ context.Context, _ *emptyRequest) *statusReply {
+	_, addr, self := s.cfg.Log.Leader()
+	cur, _ := s.cfg.Machine.Current()
+	return &statusReply{
+		replyHead: replyHead{Leader: addr},
+		Host:      s.cfg.Name,
+		Domain:    s.cfg.Domain,
+		Self:      self,
+		Version:   cur.Version,
+		Claims:    s.cfg.Machine.Claims(),
+		Nodes:     s.reports.list(s.cfg.Now()),
+	}
+}
+
+func (s *Server) history(_ context.Context, in *historyRequest) *historyReply {
+	if in.Version > 0 {
+		return &historyReply{Files: s.cfg.Machine.Sources(in.Version)}
+	}
+	return &historyReply{Changes: s.cfg.Machine.History(min(in.Limit, maxHistory))}
+}
+
+func (s *Server) members(_ context.Context, _ *emptyRequest) *membersReply {
+	return &membersReply{Members: s.cfg.Log.Members()}
+}
+
+func (s *Server) report(_ context.Context, in *reportRequest) *reportReply {
+	s.reports.put(*in, s.cfg.Now(), s.until(in.Left))
+	return &reportReply{}
+}
