Test merge, state machine and clock; stamp commands with a log clock

The rapid model found no fault in the machine.

The leader now stamps commands with the machine's time plus elapsed time. With the wall clock, a host that started with a wrong year would have expired every claim, and keys would have run again.

settings.Suggest got names in map order, so hints at equal distance differed between runs; the names are sorted now.

--- a/coordination/control/command.go
+++ b/coordination/control/command.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrylink/mulberrylink/state/codec"
@@ -11,7 +9,7 @@
 // Command is one entry of the replicated log. Exactly one of its pointers is
 // set.
 type Command struct {
-	// Now is the leader's clock in microseconds since 1970.
+	// Now is the time that the leader's Clock gave.
 	Now     int64           `cbor:"t"`
 	Change  *ChangeCommand  `cbor:"c,omitempty"`
 	Claim   *ClaimCommand   `cbor:"k,omitempty"`
@@ -31,6 +29,8 @@
 	Files []File `cbor:"s"`
 	// Raw is the merged configuration, encoded with version From+1.
 	Raw []byte `cbor:"r"`
+	// At is the wall clock of the leader in microseconds since 1970.
+	At int64 `cbor:"t"`
 }
 
 // File is one source file of a configuration version.
@@ -50,7 +50,7 @@
 	// Request identifies the attempt: only the same attempt gets a granted
 	// claim a second time.
 	Request string `cbor:"r"`
-	// Until is the deadline of the claim in microseconds since 1970.
+	// Until is the deadline of the claim on the same clock as Command.Now.
 	Until int64 `cbor:"u"`
 }
 
@@ -129,9 +129,6 @@
 	Answer *Answer `cbor:"a,omitempty"`
 }
 
-// Micros returns t as commands carry it.
-func Micros(t time.Time) int64 { return t.UnixMicro() }
-
 // Encode returns the bytes of c.
 func Encode(c Command) []byte { return mustEncode(c) }
 
--- a/coordination/control/configs.go
+++ b/coordination/control/configs.go
@@ -5,7 +5,8 @@
 	ID    string `cbor:"i"`
 	From  uint64 `cbor:"f"`
 	Print uint64 `cbor:"p"`
-	// At is the machine's time in microseconds since 1970.
+	// At is the wall clock of the leader in microseconds since 1970. It is
+	// shown to operators and decides nothing.
 	At int64 `cbor:"t"`
 	// Accepted tells whether the change became Version; otherwise Version is
 	// the one that it conflicted with.
@@ -34,14 +35,14 @@
 
 // change runs one change. It returns false with the first answer when the
 // identifier is known.
-func (s *configs) change(now int64, c *ChangeCommand) (Result, bool) {
+func (s *configs) change(c *ChangeCommand) (Result, bool) {
 	if first, ok := s.byID[c.ID]; ok {
 		if first.Print != c.Print {
 			return Result{Code: Reused, Version: s.current.Version}, false
 		}
 		return first.result(), false
 	}
-	made := Change{ID: c.ID, From: c.From, Print: c.Print, At: now, Version: s.current.Version}
+	made := Change{ID: c.ID, From: c.From, Print: c.Print, At: c.At, Version: s.current.Version}
 	if c.From == s.current.Version {
 		made.Accepted = true
 		made.Version++
--- a/coordination/control/doc.go
+++ b/coordination/control/doc.go
@@ -4,16 +4,15 @@
 //
 // The machine is deterministic: equal commands in equal order lead to equal
 // results and equal snapshots on every host. It reads no clock. The leader
-// stamps each command with its time, and the time of the machine never goes
-// backwards, so a leader whose clock is behind delays expiry and never undoes
-// it.
+// stamps each command with the time of its Clock, and the time of the machine
+// never goes backwards.
 //
 // # Usage
 //
 // The replicated log calls Apply in log order; handlers read the state:
 //
 //	m := control.NewMachine()
-//	data := control.Encode(control.Command{Now: now, Claim: &control.ClaimCommand{…}})
+//	data := control.Encode(control.Command{Now: clock.Micros(), Claim: &control.ClaimCommand{…}})
 //	// replicate data; on every host:
 //	res, err := control.DecodeResult(m.Apply(index, data))
 //	cur, changed := m.Current()
--- a/coordination/control/machine.go
+++ b/coordination/control/machine.go
@@ -67,7 +67,7 @@
 func (m *Machine) run(index uint64, c Command) Result {
 	switch {
 	case c.Change != nil:
-		res, isNew := m.configs.change(m.now, c.Change)
+		res, isNew := m.configs.change(c.Change)
 		if isNew && res.Code == Accepted {
 			m.notify()
 		}
@@ -106,6 +106,14 @@
 	return m.configs.sources(version)
 }
 
+// Time returns the time of the latest command in microseconds since 1970, 0
+// before the first.
+func (m *Machine) Time() int64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.now
+}
+
 // Claims returns the number of claims that are kept.
 func (m *Machine) Claims() int {
 	m.mu.RLock()
--- /dev/null
+++ b/coordination/control/machine_test.go
@@ -0,0 +1,266 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Small limits, so that random runs reach them.
+const (
+	testClaims      = 4
+	testAnswerBytes = 60
+)
+
+func newTestMachine() *Machine {
+	m := NewMachine()
+	m.claims = newClaims(testClaims, testAnswerBytes)
+	return m
+}
+
+// model is the plain form of the rules: it searches and sorts where the machine
+// keeps indexes.
+type model struct {
+	now     int64
+	version uint64
+	changes map[string]Change
+	claims  map[string]*record
+	order   []string // claims with a held answer, oldest first
+}
+
+func (m *model) advance(now int64) {
+	m.now = max(m.now, now)
+	for id, r := range m.claims {
+		if r.Until <= m.now {
+			m.drop(id)
+			delete(m.claims, id)
+		}
+	}
+}
+
+func (m *model) drop(id string) {
+	for i, o := range m.order {
+		if o == id {
+			m.order = append(m.order[:i:i], m.order[i+1:]...)
+			return
+		}
+	}
+}
+
+func (m *model) change(c *ChangeCommand) Result {
+	first, known := m.changes[c.ID]
+	switch {
+	case known && first.Print != c.Print:
+		return Result{Code: Reused, Version: m.version}
+	case known:
+		return first.result()
+	}
+	made := Change{Print: c.Print, Version: m.version}
+	if c.From == m.version {
+		m.version++
+		made.Accepted, made.Version = true, m.version
+	}
+	m.changes[c.ID] = made
+	return made.result()
+}
+
+func (m *model) claim(q *ClaimCommand) Result {
+	id := claimID(q.Service, q.Key)
+	r, ok := m.claims[id]
+	mine := ok && r.Holder == q.Holder && r.Request == q.Request
+	if q.Until <= m.now || !ok && len(m.claims) >= testClaims || mine && r.State == claimReleased {
+		return Result{Code: Refused}
+	}
+	if !ok || r.State == claimReleased {
+		m.claims[id] = &record{Print: q.Print, Holder: q.Holder, Request: q.Request, Until: q.Until}
+		return Result{Code: Granted, Holder: q.Holder, Request: q.Request}
+	}
+	res := Result{Code: Pending, Holder: r.Holder, Request: r.Request}
+	switch {
+	case r.Print != q.Print:
+		res.Code = Mismatch
+	case r.State == claimFinished:
+		res.Code, res.Answer = Finished, r.Answer
+	case r.State == claimRan:
+		res.Code = Ran
+	case mine:
+		res.Code = Granted
+	}
+	return res
+}
+
+func (m *model) finish(q *FinishCommand) Result {
+	id := claimID(q.Service, q.Key)
+	r, ok := m.claims[id]
+	if !ok || r.Holder != q.Holder || r.Request != q.Request || r.State == claimReleased {
+		return Result{Code: Ignored}
+	}
+	if r.State != claimGranted {
+		return Result{Code: Recorded}
+	}
+	r.State = claimRan
+	if q.Answer != nil && len(q.Answer.Body) <= MaxBodyBytes {
+		r.State, r.Answer = claimFinished, q.Answer
+		m.order = append(m.order, id)
+	}
+	for m.held() > testAnswerBytes {
+		oldest := m.claims[m.order[0]]
+		oldest.State, oldest.Answer = claimRan, nil
+		m.order = m.order[1:]
+	}
+	return Result{Code: Recorded}
+}
+
+func (m *model) held() int {
+	n := 0
+	for _, id := range m.order {
+		n += len(m.claims[id].Answer.Body)
+	}
+	return n
+}
+
+func (m *model) release(q *ReleaseCommand) Result {
+	id := claimID(q.Service, q.Key)
+	r, ok := m.claims[id]
+	switch {
+	case ok && (r.Holder != q.Holder || r.Request != q.Request || r.State == claimFinished || r.State == claimRan):
+		return Result{Code: Ignored}
+	case ok && r.State == claimReleased:
+		return Result{Code: Recorded}
+	case !ok && (q.Until <= m.now || len(m.claims) >= testClaims):
+		return Result{Code: Ignored}
+	}
+	m.claims[id] = &record{State: claimReleased, Holder: q.Holder, Request: q.Request, Until: q.Until}
+	return Result{Code: Recorded}
+}
+
+func (m *model) run(c Command) Result {
+	m.advance(c.Now)
+	switch {
+	case c.Change != nil:
+		return m.change(c.Change)
+	case c.Claim != nil:
+		return m.claim(c.Claim)
+	case c.Finish != nil:
+		return m.finish(c.Finish)
+	default:
+		return m.release(c.Release)
+	}
+}
+
+// drawCommand draws from few names, so that commands meet each other.
+func drawCommand(t *rapid.T, now int64, version uint64) Command {
+	pick := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }
+	key := fmt.Sprint("k", pick("key", testClaims+1))
+	holder, request := fmt.Sprint("n", pick("holder", 4)/3), fmt.Sprint("r", pick("request", 2))
+	until := now + int64(pick("ttl", 200))
+	c := Command{Now: now + int64(pick("step", 8)) - 3}
+	switch pick("kind", 8) {
+	case 0:
+		from := version + uint64(pick("from", 3)) - min(version, 1)
+		c.Change = &ChangeCommand{ID: fmt.Sprint("c", pick("change", 20)), From: from, Print: uint64(pick("files", 2)), Raw: []byte("raw")}
+	case 1, 2, 3:
+		c.Claim = &ClaimCommand{Service: "s", Key: key, Print: uint64(pick("print", 4) / 3), Holder: holder, Request: request, Until: until}
+	case 4, 5, 6:
+		var a *Answer
+		if size := pick("body", 40); size > 4 {
+			a = &Answer{Status: 200, Body: bytes.Repeat([]byte("x"), size)}
+		}
+		c.Finish = &FinishCommand{Service: "s", Key: key, Holder: holder, Request: request, Answer: a}
+	default:
+		c.Release = &ReleaseCommand{Service: "s", Key: key, Holder: holder, Request: request, Until: until}
+	}
+	return c
+}
+
+// Guards against a claim granted twice, two winners for one version, a resend
+// that is run again, and state that differs between a host that applied every
+// command and one that was restored from a snapshot.
+func TestMachineFollowsModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := newTestMachine(), newTestMachine()
+		m := &model{changes: make(map[string]Change), claims: make(map[string]*record)}
+		now := int64(1_000)
+		for i := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			c := drawCommand(t, now, m.version)
+			now = max(now, c.Now)
+			data := Encode(c)
+			got := a.Apply(uint64(i+1), data)
+			if want := mustEncode(m.run(c)); !bytes.Equal(got, want) {
+				g, _ := DecodeResult(got)
+				w, _ := DecodeResult(want)
+				t.Fatalf("command %d: got %+v, want %+v", i, g, w)
+			}
+			if !bytes.Equal(b.Apply(uint64(i+1), data), got) {
+				t.Fatalf("command %d: the restored machine answers differently", i)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				snap := a.Snapshot()
+				b = newTestMachine()
+				if err := b.Restore(snap); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !bytes.Equal(a.Snapshot(), b.Snapshot()) {
+				t.Fatalf("command %d: snapshots differ", i)
+			}
+			if held := a.claims.bytes; held != m.held() {
+				t.Fatalf("command %d: %d answer bytes are counted, %d are held", i, held, m.held())
+			}
+		}
+	})
+}
+
+// Guards against a decoder limit that makes a full snapshot unreadable, and
+// against memory that grows with the number of commands on one key.
+func TestManyClaims(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine()
+	const n = 140_000 // more than the 131,072 elements the decoder allows in an array
+	for i := range n {
+		m.claims.put(&record{ID: fmt.Sprint("s\n", i), Until: int64(i + 1)})
+	}
+	back := NewMachine()
+	is.NoErr(back.Restore(m.Snapshot()))
+	is.Equal(back.Claims(), n)
+	one := newTestMachine()
+	for i := range 20_000 {
+		one.claims.put(&record{ID: "s\nk", Until: int64(1_000_000 + i)})
+	}
+	is.True(len(one.claims.due) <= 2+minDueEntries)
+}
+
+// Guards against damaged input that changes the state or stops the process.
+func TestDamagedInput(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine()
+	before := m.Snapshot()
+	for _, data := range [][]byte{nil, {0xff}, Encode(Command{}), []byte("text")} {
+		res, err := DecodeResult(m.Apply(1, data))
+		is.NoErr(err)
+		is.Equal(res.Code, BadCommand)
+	}
+	is.True(m.Restore([]byte("text")) != nil)
+	is.Equal(m.Snapshot(), before)
+}
+
+// Guards against claims that expire early because the clock of a host jumps or
+// starts wrong.
+func TestClockIgnoresWallClock(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine()
+	wall := time.UnixMicro(1_000_000)
+	c := NewClock(m, func() time.Time { return wall })
+	is.Equal(c.Micros(), int64(1_000_000))
+	m.Apply(1, Encode(Command{Now: c.Micros()}))
+	wall = wall.Add(time.Second)
+	is.Equal(c.Micros(), int64(2_000_000))
+	wrong := NewClock(m, func() time.Time { return wall.AddDate(50, 0, 0) })
+	is.Equal(wrong.Micros(), int64(1_000_000))
+	m.Apply(2, Encode(Command{Now: 9_000_000}))
+	is.Equal(c.Micros(), int64(9_000_000))
+}
--- a/protocol/controlplane/server.go
+++ b/protocol/controlplane/server.go
@@ -16,6 +16,10 @@
 // takes up to 1.5 s, and the client tries another host before that.
 const proposeTimeout = 2 * time.Second
 
+// maxClaimLeft bounds the deadline that a node may ask for. It is the limit of
+// the settings key keyttl.
+const maxClaimLeft = 168 * time.Hour
+
 // drainPoll is how often Drain looks for calls in progress.
 const drainPoll = 10 * time.Millisecond
 
@@ -27,7 +31,7 @@
 	Log    Log
 	// Machine is the state machine that Log applies commands to.
 	Machine *control.Machine
-	// Now is the clock that stamps commands.
+	// Now is the clock of the host.
 	Now func() time.Time
 	// Observe is called with the method and the outcome word of each call. It
 	// may be nil.
@@ -37,6 +41,7 @@
 // Server answers the calls of nodes and operators on one control host.
 type Server struct {
 	cfg     ServerConfig
+	clock   *control.Clock
 	reports *reports
 	calls   atomic.Int64  // unary calls in progress
 	closing chan struct{} // closed by Drain
@@ -48,7 +53,12 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(string, string) {}
 	}
-	return &Server{cfg: cfg, reports: newReports(), closing: make(chan struct{})}
+	return &Server{
+		cfg:     cfg,
+		clock:   control.NewClock(cfg.Machine, cfg.Now),
+		reports: newReports(),
+		closing: make(chan struct{}),
+	}
 }
 
 // Drain ends the watch streams, whose clients then go to another host, and
@@ -102,7 +112,7 @@
 func (s *Server) propose(ctx context.Context, c control.Command) (control.Result, replyHead) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	c.Now = control.Micros(s.cfg.Now())
+	c.Now = s.clock.Micros()
 	data, status := s.cfg.Log.Propose(ctx, control.Encode(c))
 	if status != StatusCommitted {
 		return control.Result{}, s.refusal(status)
@@ -138,7 +148,8 @@
 	return &confirmedReply{Version: cur.Version, Raw: cur.Raw}
 }
 
-// until returns the deadline of a time that travelled as milliseconds left.
-func (s *Server) until(left int64) time.Time {
-	return s.cfg.Now().Add(time.Duration(left) * time.Millisecond)
+// until returns the deadline, on the clock of the log, of a time that travelled
+// as milliseconds left.
+func (s *Server) until(left int64) int64 {
+	return s.clock.Micros() + min(left, maxClaimLeft.Milliseconds())*time.Millisecond.Microseconds()
 }
--- a/protocol/controlplane/server_claims.go
+++ b/protocol/controlplane/server_claims.go
@@ -13,7 +13,7 @@
 		Print:   in.Print,
 		Holder:  in.Holder,
 		Request: in.Request,
-		Until:   control.Micros(s.until(in.Left)),
+		Until:   s.until(in.Left),
 	}})
 }
 
@@ -33,7 +33,7 @@
 		Key:     in.Key,
 		Holder:  in.Holder,
 		Request: in.Request,
-		Until:   control.Micros(s.until(in.Left)),
+		Until:   s.until(in.Left),
 	}})
 }
 
--- a/protocol/controlplane/server_operator.go
+++ b/protocol/controlplane/server_operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,6 +32,7 @@
 		cur, _ := s.cfg.Machine.Current()
 		return &applyReply{State: ApplyInvalid, Version: cur.Version, Problems: problems}
 	}
+	cmd.At = s.cfg.Now().UnixMicro()
 	res, head := s.propose(ctx, control.Command{Change: cmd})
 	out := &applyReply{replyHead: head, Version: res.Version}
 	switch res.Code {
@@ -121,6 +123,7 @@
 }
 
 func (s *Server) report(_ context.Context, in *reportRequest) *reportReply {
-	s.reports.put(*in, s.cfg.Now(), s.until(in.Left))
+	now := s.cfg.Now()
+	s.reports.put(*in, now, now.Add(time.Duration(in.Left)*time.Millisecond))
 	return &reportReply{}
 }
--- a/state/settings/decode.go
+++ b/state/settings/decode.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -222,6 +223,7 @@
 	for k := range m {
 		keys = append(keys, k)
 	}
+	slices.Sort(keys) // Suggest then gives the same hint on every run
 	return keys
 }
 
