Add scripted scenarios for mulberryctl

A wrong call printed the help page on standard output, where scripts look for key=value lines; it now prints one line on standard error. A file without its flag was ignored; it is an error now.

--- /dev/null
+++ b/cmd/mulberryctl/ctl_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/control"
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+	"github.com/mulberrylink/mulberrylink/transport/rpc"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"mulberryctl": func() { os.Exit(runMain()) }})
+}
+
+// Guards the outputs and exit codes that operators and scripts rely on. Each
+// script gets a control host of its own at $CONTROL.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Setup: func(env *testscript.Env) error {
+			addr, err := startHost(env)
+			env.Setenv("CONTROL", addr)
+			return err
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"code": checkCode},
+	})
+}
+
+// checkCode implements "code N program args…", which fails unless the program
+// exits with code N.
+func checkCode(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	var exit *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+func startHost(env *testscript.Env) (string, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	addr := lis.Addr().String()
+	m := control.NewMachine()
+	s := controlplane.NewServer(controlplane.ServerConfig{
+		Name: "c1", Domain: "d1", Log: controlplane.NewLocal(addr, m), Machine: m, Now: time.Now,
+	})
+	srv := rpc.NewServer(nil)
+	for method, h := range s.Methods() {
+		srv.Handle(method, h)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ctx, lis) }()
+	env.Defer(func() { cancel(); <-done })
+	return addr, nil
+}
+
+// Guards against a reason that operators meet and explain does not know.
+func TestEveryReasonIsExplained(t *testing.T) {
+	for _, r := range mulberrylink.Reasons() {
+		if reasons[r] == "" {
+			t.Errorf("reason %s has no explanation", r)
+		}
+	}
+}
--- a/cmd/mulberryctl/explain.go
+++ b/cmd/mulberryctl/explain.go
@@ -15,7 +15,13 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "explain a reason, an outcome or a key of the configuration",
-		ArgsUsage: "WORD",
+		ArgsUsage: "[WORD]",
+		ArgValidator: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() > 1 {
+				return &exitError{code: exitUsage, text: "explain takes one word"}
+			}
+			return nil
+		},
 		Description: "Without a word it lists everything that it can explain.\n\n" +
 			"Examples:\n  mulberryctl explain domainout\n  mulberryctl explain notrun\n  mulberryctl explain keyttl",
 		Action: func(_ context.Context, cmd *cli.Command) error {
--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -20,6 +20,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrylink/mulberrylink/state/settings"
 )
 
 // version is set by the linker.
@@ -62,7 +64,7 @@
 }
 
 func command() *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:  "mulberryctl",
 		Usage: "check and apply the configuration, and show the state of a deployment",
 		Description: "Examples:\n" +
@@ -74,7 +76,30 @@
 			checkCommand(), diffCommand(), applyCommand(), statusCommand(), historyCommand(),
 			membersCommand(), explainCommand(), versionCommand(),
 		},
+		ArgValidator: noArguments,
+	}
+	for _, c := range root.Commands {
+		c.OnUsageError = usageError
+	}
+	return root
+}
+
+// noArguments refuses words that are not flags; they are likely to be a file
+// whose flag was forgotten.
+func noArguments(_ context.Context, cmd *cli.Command) error {
+	if word := cmd.Args().First(); word != "" {
+		var known []string
+		for _, c := range cmd.Commands {
+			known = append(known, c.Name)
+		}
+		return &exitError{code: exitUsage, text: "unexpected argument " + quote(word) + settings.Suggest(word, known)}
 	}
+	return nil
+}
+
+// usageError keeps the help page out of the output of a wrong call.
+func usageError(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+	return &exitError{code: exitUsage, text: cmd.FullName() + ": " + err.Error()}
 }
 
 func versionCommand() *cli.Command {
--- a/state/overlay/overlay_test.go
+++ b/state/overlay/overlay_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -119,6 +120,23 @@
 	is.True(err != nil)
 }
 
+// Guards against equal configurations with different bytes.
+func TestOrderDoesNotMatter(t *testing.T) {
+	is := is.New(t)
+	sections := []string{
+		"[domain d1]\nregion = r\n", "[domain d2]\nregion = r\n", "[service a]\n", "[service b]\n",
+		"[route a GET /x]\n", "[route a GET /y]\n", "[route a PUT /x]\n", "[route b GET /x]\n",
+	}
+	merge := func() []byte {
+		cfg, err := overlay.Merge(overlay.File{Name: "base.ini", Data: []byte(strings.Join(sections, ""))}, nil)
+		is.NoErr(err)
+		return overlay.Encode(cfg)
+	}
+	forward := merge()
+	slices.Reverse(sections)
+	is.Equal(merge(), forward)
+}
+
 // Guards against a key without a meaning in the tables that operators read.
 func TestKeysAreDocumented(t *testing.T) {
 	is := is.New(t)
