--- /dev/null
+++ b/cmd/mulberrynode/admin.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/transport/front"
+)
+
+// maxAnnounceBytes bounds the body of an announcement.
+const maxAnnounceBytes = 16 << 10
+
+// admin is the HTTP server for the upstream and for operators.
+type admin struct {
+	node  *node
+	rest  *rest.Server
+	http  *http.Server
+	ready chan struct{}
+	addr  string
+}
+
+func newAdmin(n *node, addr string) (*admin, error) {
+	host, portText, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "admin address %q", addr)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return nil, errors.Wrapf(err, "admin address %q", addr)
+	}
+	a := &admin{node: n, ready: make(chan struct{})}
+	if a.rest, err = rest.NewServer(front.RestConfig("admin", host, port)); err != nil {
+		return nil, errors.Wrap(err, "set up admin server")
+	}
+	a.rest.AddRoutes([]rest.Route{
+		{Method: http.MethodPost, Path: "/announce", Handler: a.announce},
+		{Method: http.MethodGet, Path: "/health", Handler: a.health},
+		{Method: http.MethodGet, Path: "/ready", Handler: a.readiness},
+		{Method: http.MethodGet, Path: "/metrics", Handler: a.metrics},
+		{Method: http.MethodGet, Path: "/version", Handler: a.version},
+	})
+	return a, nil
+}
+
+func (a *admin) serve() (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Newf("serve admin: %v", p) // the library panics on a used address
+		}
+	}()
+	a.rest.StartWithOpts(func(srv *http.Server) {
+		a.http = srv
+		srv.BaseContext = func(lis net.Listener) context.Context {
+			a.addr = lis.Addr().String()
+			close(a.ready)
+			return context.Background()
+		}
+	})
+	return nil
+}
+
+func (a *admin) announce(w http.ResponseWriter, r *http.Request) {
+	m, err := readAnnouncement(w, r, time.Now())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.node.upstream.announce(m)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// announceMessage is the JSON form of an announcement.
+type announceMessage struct {
+	Service     string `json:"service"`
+	Addr        string `json:"addr"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	State       string `json:"state"`
+	TTL         int    `json:"ttl"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+func readAnnouncement(w http.ResponseWriter, r *http.Request, now time.Time) (announcement, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
+	if err != nil {
+		return announcement{}, errors.Wrap(err, "read announcement")
+	}
+	var m announceMessage
+	kind, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if kind == "application/json" {
+		if err := json.Unmarshal(data, &m); err != nil {
+			return announcement{}, errors.Wrap(err, "announcement is not valid JSON")
+		}
+	} else if err := m.fromForm(string(data)); err != nil {
+		return announcement{}, err
+	}
+	return m.announcement(now)
+}
+
+func (m *announceMessage) fromForm(text string) error {
+	v, err := url.ParseQuery(text)
+	if err != nil {
+		return errors.Wrap(err, "announcement is not a valid form")
+	}
+	m.Service, m.Addr, m.State = v.Get("service"), v.Get("addr"), v.Get("state")
+	var problems []error
+	whole := func(key string) int {
+		if v.Get(key) == "" {
+			return 0
+		}
+		n, err := strconv.Atoi(v.Get(key))
+		if err != nil {
+			problems = append(problems, fmt.Errorf("%s %q is not a whole number", key, v.Get(key)))
+		}
+		return n
+	}
+	m.Slots, m.Connections, m.TTL = whole("slots"), whole("connections"), whole("ttl")
+	if text := v.Get("incarnation"); text != "" {
+		if m.Incarnation, err = strconv.ParseUint(text, 10, 64); err != nil {
+			problems = append(problems, fmt.Errorf("incarnation %q is not a whole number", text))
+		}
+	}
+	return errors.Join(problems...)
+}
+
+func (m *announceMessage) announcement(now time.Time) (announcement, error) {
+	state, err := parseState(m.State)
+	if err != nil {
+		return announcement{}, err
+	}
+	if low, high := int(minTTL.Milliseconds()), int(maxTTL.Milliseconds()); m.TTL < low || m.TTL > high {
+		return announcement{}, errors.Newf("ttl %d is not in the range %d to %d milliseconds", m.TTL, low, high)
+	}
+	a := announcement{
+		Service: m.Service, Addr: m.Addr, Slots: m.Slots, Connections: m.Connections,
+		State: state, Incarnation: m.Incarnation,
+		Expires: now.Add(time.Duration(m.TTL) * time.Millisecond),
+	}
+	return a, a.check()
+}
+
+func (a *admin) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintln(w, "ok")
+}
+
+// readiness tells whether callers may use this node.
+func (a *admin) readiness(w http.ResponseWriter, _ *http.Request) {
+	entry := a.node.standing.entry()
+	if entry != mulberrylink.ReasonNone {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = fmt.Fprintf(w, "ready=false reason=%s\n", entry)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "ready=true version=%d admit=%s\n", a.node.active.version(), a.node.standing.admit())
+}
+
+func (a *admin) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	a.node.stats.write(w)
+}
+
+func (a *admin) version(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintf(w, "program=mulberrynode version=%s name=%s configuration=%d\n",
+		version, a.node.cfg.Node.Name, a.node.active.version())
+}
--- a/cmd/mulberrynode/main.go
+++ b/cmd/mulberrynode/main.go
@@ -1,4 +1,79 @@
-// Command mulberrynode is part of mulberrylink.
+// Command mulberrynode runs beside an upstream. It is the entry point for
+// callers and the only path to its upstream.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// version is set by the build.
+var version = "unknown"
+
+const examples = `Examples:
+  Check a settings file without starting:
+    mulberrynode check --config config/association/node-registry-1.ini
+
+  Run a node; it ends after SIGTERM when its last request is done:
+    mulberrynode run --config config/association/node-registry-1.ini
+
+  A settings file:
+    [node]
+    name = node-registry-1
+    domain = d1
+    [listen]
+    front = 127.0.0.1:9101
+    rpc = 127.0.0.1:9201
+    admin = 127.0.0.1:9301
+    [control]
+    hosts = 127.0.0.1:9001, 127.0.0.1:9002, 127.0.0.1:9003
+    [peers]
+    seeds = 127.0.0.1:9201, 127.0.0.1:9202`
+
+func main() {
+	if err := command(os.Stdout, os.Stderr).Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "mulberrynode:", err)
+		os.Exit(1)
+	}
+}
+
+func command(out, logs io.Writer) *cli.Command {
+	file := &cli.StringFlag{Name: "config", Usage: "settings `FILE`", Required: true}
+	return &cli.Command{
+		Name:        "mulberrynode",
+		Usage:       "entry point for callers and only path to the upstream beside it",
+		Description: examples,
+		Writer:      out,
+		ErrWriter:   logs,
+		Commands: []*cli.Command{
+			{
+				Name: "run", Usage: "run the node", Flags: []cli.Flag{file},
+				Action: func(_ context.Context, c *cli.Command) error { return runNode(c.String("config"), logs) },
+			},
+			{
+				Name: "check", Usage: "check a settings file", Flags: []cli.Flag{file},
+				Action: func(_ context.Context, c *cli.Command) error { return checkSettings(c.String("config"), out) },
+			},
+			{
+				Name: "version", Usage: "print the version",
+				Action: func(context.Context, *cli.Command) error {
+					_, err := fmt.Fprintln(out, version)
+					return err
+				},
+			},
+		},
+	}
+}
+
+func checkSettings(path string, out io.Writer) error {
+	cfg, err := loadSettings(path)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s: name=%s domain=%s policy=%s ok\n", path, cfg.Node.Name, cfg.Node.Domain, cfg.Measure.Policy)
+	return err
+}
--- /dev/null
+++ b/cmd/mulberrynode/needs.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// group is the node group as this node sees it.
+type group interface {
+	Nodes(service string) []mulberrylink.Node
+	All() []mulberrylink.Node
+	Update(change func(self *mulberrylink.Node))
+	Broadcast(kind uint8, data []byte)
+	MaxVersion() (version uint64, addr string)
+	LastHeard() time.Time
+}
+
+// ticket is a place on the upstream.
+type ticket interface{ Done(completion) }
+
+// completion tells the gate how a request ended.
+type completion struct {
+	Took    time.Duration
+	Outcome mulberrylink.Outcome
+	Reason  mulberrylink.Reason
+	Status  int
+	Refused bool
+	Died    bool
+}
+
+// gate admits requests to the upstream.
+type gate interface {
+	Enter(ctx context.Context, r *mulberrylink.Request, alone bool) (ticket, mulberrylink.Reason)
+	Load() mulberrylink.Load
+	// Announce takes over what the upstream says about itself.
+	Announce(a announcement)
+	// Ramp makes the limit grow from its cold value again.
+	Ramp()
+}
+
+// answerRecorder records the first answer of a claimed request.
+type answerRecorder interface {
+	Finish(ctx context.Context, r *mulberrylink.Request, a mulberrylink.Answer)
+}
+
+// controlLink is the connection to the control hosts.
+type controlLink interface {
+	answerRecorder
+	// Confirmed returns the newest version that the quorum confirms.
+	Confirmed(ctx context.Context) (version uint64, data []byte, err error)
+	// Watch calls push for each committed version until ctx ends.
+	Watch(ctx context.Context, push func(version uint64, data []byte))
+	// LastHeard is when a control host was last heard from.
+	LastHeard() time.Time
+}
--- /dev/null
+++ b/cmd/mulberrynode/run.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/transport/events"
+)
+
+const (
+	// leaveTime is how long a leaving node keeps its listeners open after its
+	// last request, so that the group learns of it before connections fail.
+	leaveTime = 500 * time.Millisecond
+	// drainInterval is how often a leaving node looks for open exchanges.
+	drainInterval = 20 * time.Millisecond
+)
+
+func runNode(path string, logs io.Writer) error {
+	cfg, err := loadSettings(path)
+	if err != nil {
+		return err
+	}
+	l := events.New(logs, cfg.Log.Level, "mulberrynode", cfg.Node.Name)
+	events.Redirect(l)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	lis, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", cfg.Listen.RPC)
+	if err != nil {
+		return errors.Wrap(err, "listen for rpc")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p, err := buildParts(ctx, cfg, l)
+	if err != nil {
+		return err
+	}
+	n, err := newNode(cfg, p, lis, l)
+	if err != nil {
+		return err
+	}
+	return n.run(ctx, signals)
+}
+
+// run serves until a signal arrives and every request has ended.
+func (n *node) run(ctx context.Context, signals <-chan os.Signal) error {
+	failed := make(chan error, 3)
+	if err := n.start(ctx, failed); err != nil {
+		select {
+		case cause := <-failed:
+			return errors.CombineErrors(cause, err)
+		default:
+			return err
+		}
+	}
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "server ended")
+	case s := <-signals:
+		n.log.Info().Str("signal", s.String()).Msg("node leaving")
+	}
+	return n.leave(ctx)
+}
+
+// leave refuses new work and waits for every request in flight, however long
+// it takes. Further signals change nothing.
+func (n *node) leave(ctx context.Context) error {
+	n.standing.leaving.Store(true)
+	n.parts.group.Update(func(self *mulberrylink.Node) { self.State = mulberrylink.NodeLeaving })
+	announced := time.Now()
+	for {
+		n.front.Drain(ctx)
+		if n.server.Pending() == 0 && n.front.InFlight() == 0 && time.Since(announced) >= leaveTime {
+			break
+		}
+		time.Sleep(drainInterval)
+	}
+	if err := n.front.Shutdown(ctx); err != nil {
+		return err
+	}
+	n.admitter.busy.Wait()
+	n.log.Info().Msg("node left")
+	return nil
+}
+
+// buildParts connects the node to its group and its control hosts.
+func buildParts(context.Context, *nodeSettings, *log.Logger) (parts, error) {
+	return parts{}, errors.New("node group is not available in this build")
+}
--- /dev/null
+++ b/cmd/mulberrynode/settings.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/state/settings"
+)
+
+// nodeSettings is the settings file of a node.
+type nodeSettings struct {
+	Node struct {
+		Name   string `ini:"name" required:"true"`
+		Domain string `ini:"domain" required:"true"`
+	} `ini:"node"`
+	Listen struct {
+		Front string `ini:"front" required:"true"`
+		RPC   string `ini:"rpc" required:"true"`
+		Admin string `ini:"admin" required:"true"`
+	} `ini:"listen"`
+	Control struct {
+		Hosts []string `ini:"hosts"`
+	} `ini:"control"`
+	Peers struct {
+		Seeds []string `ini:"seeds"`
+	} `ini:"peers"`
+	Log struct {
+		Level string `ini:"level" default:"info" oneof:"debug,info,warn,error"`
+	} `ini:"log"`
+	Limits struct {
+		// Header is the largest request header in bytes.
+		Header int `ini:"header" default:"65536" min:"4096" max:"1048576"`
+		// Keyed is the largest body of a keyed request in bytes.
+		Keyed int `ini:"keyed" default:"1048576" min:"1" max:"8388608"`
+		// Connections is the largest number of callers' connections.
+		Connections int `ini:"connections" default:"10000" min:"1" max:"1000000"`
+		// Depth is the largest depth of nested calls.
+		Depth int `ini:"depth" default:"64" min:"1" max:"1000"`
+		// Dial bounds the opening of a connection to another node.
+		Dial time.Duration `ini:"dial" default:"500ms" min:"10ms" max:"10s"`
+		// Idle is the number of idle connections kept for one node.
+		Idle int `ini:"idle" default:"32" min:"1" max:"1024"`
+	} `ini:"limits"`
+	Measure struct {
+		Policy string `ini:"policy" default:"adaptive" oneof:"adaptive,random,roundrobin,leastloaded,twochoices"`
+	} `ini:"measure"`
+}
+
+func loadSettings(path string) (*nodeSettings, error) {
+	var cfg nodeSettings
+	if err := settings.Load(path, &cfg); err != nil {
+		return nil, err
+	}
+	var problems []error
+	check := func(section, key string, addrs ...string) {
+		for _, a := range addrs {
+			if err := checkAddr(a); err != nil {
+				problems = append(problems, fmt.Errorf("%s: section %q key %q: %w", path, section, key, err))
+			}
+		}
+	}
+	check("listen", "front", cfg.Listen.Front)
+	check("listen", "rpc", cfg.Listen.RPC)
+	check("listen", "admin", cfg.Listen.Admin)
+	check("control", "hosts", cfg.Control.Hosts...)
+	check("peers", "seeds", cfg.Peers.Seeds...)
+	return &cfg, errors.Join(problems...)
+}
+
+// checkAddr accepts an IP address with a port: a process learns its addresses
+// from its settings and resolves no names.
+func checkAddr(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("%q is not an address with a port", addr)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%q does not start with an IP address", addr)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/mulberrynode/standing.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+const (
+	// isolationTime is how long a node may hear from nobody before it refuses
+	// new work: its failure domain may have been taken out of service.
+	isolationTime = 3 * time.Second
+	// standingInterval is how often the standing is looked at for a return.
+	standingInterval = 100 * time.Millisecond
+)
+
+// standing tells whether the node may take new work.
+type standing struct {
+	domain   string
+	active   *active
+	upstream *upstream
+	// heard is when any control host or peer was last heard from. It is nil
+	// when none is configured.
+	heard   func() time.Time
+	now     func() time.Time
+	leaving atomic.Bool
+	log     *log.Logger
+}
+
+// entry returns the reason to refuse callers. A node whose domain is out still
+// forwards to other domains.
+func (s *standing) entry() mulberrylink.Reason {
+	switch {
+	case s.leaving.Load():
+		return mulberrylink.ReasonLeaving
+	case s.active.config() == nil:
+		return mulberrylink.ReasonNoConfig
+	default:
+		return mulberrylink.ReasonNone
+	}
+}
+
+// admit returns the reason to refuse work for the local upstream.
+func (s *standing) admit() mulberrylink.Reason {
+	if reason := s.entry(); reason != mulberrylink.ReasonNone {
+		return reason
+	}
+	if reason := s.place(); reason != mulberrylink.ReasonNone {
+		return reason
+	}
+	return s.upstream.refuse()
+}
+
+// place returns the reason that lies in the failure domain or the network.
+func (s *standing) place() mulberrylink.Reason {
+	switch {
+	case s.active.config().DomainOut(s.domain):
+		return mulberrylink.ReasonDomainOut
+	case s.isolated():
+		return mulberrylink.ReasonIsolated
+	default:
+		return mulberrylink.ReasonNone
+	}
+}
+
+func (s *standing) isolated() bool {
+	return s.heard != nil && s.now().Sub(s.heard()) > isolationTime
+}
+
+// watch calls back whenever the node may take work again, until ctx ends.
+func (s *standing) watch(ctx context.Context, back func()) {
+	tick := time.NewTicker(standingInterval)
+	defer tick.Stop()
+	was := mulberrylink.ReasonNone
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if s.active.config() == nil {
+			continue
+		}
+		now := s.place()
+		if now == was {
+			continue
+		}
+		s.log.Info().Str("from", was.String()).Str("to", now.String()).Msg("standing changed")
+		if now == mulberrylink.ReasonNone {
+			back()
+		}
+		was = now
+	}
+}
--- /dev/null
+++ b/cmd/mulberrynode/stats.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/transport/front"
+)
+
+// Range of the latency histograms in microseconds.
+const (
+	minMicros = 1
+	maxMicros = 60_000_000
+	digits    = 3
+)
+
+// stats holds the metrics of the node.
+type stats struct {
+	registry metrics.Registry
+
+	mu    sync.Mutex
+	added *hdrhistogram.Histogram
+}
+
+func newStats() *stats {
+	return &stats{
+		registry: metrics.NewRegistry(),
+		added:    hdrhistogram.New(minMicros, maxMicros, digits),
+	}
+}
+
+func (s *stats) count(name string) {
+	metrics.GetOrRegisterCounter(name, s.registry).Inc(1)
+}
+
+func (s *stats) gauge(name string, read func() int64) {
+	_ = s.registry.Register(name, metrics.NewFunctionalGauge(read))
+}
+
+// finished counts a caller's request.
+func (s *stats) finished(ev front.Event) {
+	s.count("front_requests")
+	s.count("front_" + ev.Outcome.String())
+	if ev.Outcome != mulberrylink.Answered {
+		s.count("front_" + ev.Outcome.String() + "_" + ev.Reason.String())
+	}
+	if ev.Outcome != mulberrylink.Answered || ev.Upstream == 0 {
+		return
+	}
+	added := max((ev.FirstByte - ev.Upstream).Microseconds(), minMicros)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.added.RecordValue(min(added, maxMicros))
+}
+
+// refused counts a refusal of the admitting side.
+func (s *stats) refused(reason mulberrylink.Reason) { s.count("admit_refused_" + reason.String()) }
+
+// resolved counts an exchange that was resolved over a new connection.
+func (s *stats) resolved(outcome mulberrylink.Outcome, _ mulberrylink.Reason) {
+	s.count("forward_resolved_" + outcome.String())
+}
+
+// write prints one line for each metric, sorted by name.
+func (s *stats) write(w io.Writer) {
+	lines := make([]string, 0, 64)
+	s.registry.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
+		}
+	})
+	s.mu.Lock()
+	lines = append(lines,
+		fmt.Sprintf("added_count %d", s.added.TotalCount()),
+		fmt.Sprintf("added_p50_us %d", s.added.ValueAtQuantile(50)),
+		fmt.Sprintf("added_p99_us %d", s.added.ValueAtQuantile(99)),
+	)
+	s.mu.Unlock()
+	sort.Strings(lines)
+	for _, l := range lines {
+		_, _ = fmt.Fprintln(w, l)
+	}
+}
--- /dev/null
+++ b/cmd/mulberrynode/upstream.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// Bounds of an announcement.
+const (
+	maxSlots       = 100_000
+	minTTL         = 100 * time.Millisecond
+	maxTTL         = 10 * time.Minute
+	expiryInterval = 50 * time.Millisecond
+)
+
+// announcement is what the upstream says about itself.
+type announcement struct {
+	Service     string
+	Addr        string
+	Slots       int
+	Connections int
+	State       mulberrylink.UpstreamState
+	Incarnation uint64
+	// Expires is when the announcement must have been renewed.
+	Expires time.Time
+}
+
+func (a announcement) check() error {
+	switch {
+	case a.Service == "":
+		return errors.New("service is missing")
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return errors.Newf("slots %d is not in the range 1 to %d", a.Slots, maxSlots)
+	case a.Connections < 0:
+		return errors.Newf("connections %d is negative", a.Connections)
+	case a.State == mulberrylink.UpstreamDown:
+		return errors.New("state is missing")
+	}
+	if err := checkAddr(a.Addr); err != nil {
+		return errors.Wrap(err, "addr")
+	}
+	return nil
+}
+
+// parseState reads the state field of an announcement.
+func parseState(text string) (mulberrylink.UpstreamState, error) {
+	switch text {
+	case "ready":
+		return mulberrylink.UpstreamUp, nil
+	case "cold":
+		return mulberrylink.UpstreamCold, nil
+	case "draining":
+		return mulberrylink.UpstreamDraining, nil
+	default:
+		return mulberrylink.UpstreamDown, fmt.Errorf("state %q is not one of ready, cold, draining", text)
+	}
+}
+
+// upstream holds the last announcement until it expires.
+type upstream struct {
+	changed func(announcement) // called for each change
+	log     *log.Logger
+
+	mu  sync.Mutex
+	cur announcement
+}
+
+func (u *upstream) announce(a announcement) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	old := u.cur
+	u.cur = a
+	old.Expires = a.Expires
+	if old != a {
+		u.log.Info().Str("service", a.Service).Str("addr", a.Addr).Str("state", a.State.String()).
+			Int("slots", a.Slots).Uint64("incarnation", a.Incarnation).Msg("upstream announced")
+		u.changed(a)
+	}
+}
+
+// expire marks the upstream as down once its announcement has expired.
+func (u *upstream) expire(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.cur.State == mulberrylink.UpstreamDown || now.Before(u.cur.Expires) {
+		return
+	}
+	u.cur.State = mulberrylink.UpstreamDown
+	u.log.Warn().Str("service", u.cur.Service).Str("addr", u.cur.Addr).Msg("upstream announcement expired")
+	u.changed(u.cur)
+}
+
+func (u *upstream) watch(ctx context.Context, now func() time.Time) {
+	tick := time.NewTicker(expiryInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			u.expire(now())
+		}
+	}
+}
+
+func (u *upstream) current() announcement {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.cur
+}
+
+// refuse returns the reason to refuse work for the upstream.
+func (u *upstream) refuse() mulberrylink.Reason {
+	switch u.current().State {
+	case mulberrylink.UpstreamDown:
+		return mulberrylink.ReasonNoUpstream
+	case mulberrylink.UpstreamDraining:
+		return mulberrylink.ReasonDraining
+	default:
+		return mulberrylink.ReasonNone
+	}
+}
--- /dev/null
+++ b/transport/front/front.go
@@ -0,0 +1,251 @@
+// Package front is the HTTP entry for callers. It turns each HTTP request into
+// a request of the load balancer and its result into an HTTP answer that says
+// truthfully whether the request was run.
+//
+// The Host header names the service. Answers that the system itself makes
+// carry Mulberry-Outcome and Mulberry-Reason.
+//
+// go-zero's rest serves every path through a router of this package, because
+// its own router has no catch-all route. None of its middlewares is on this
+// path: limits of time and size are those of the routes' configuration.
+//
+// # Usage
+//
+//	f, err := front.New(front.Config{
+//		Addr: "127.0.0.1:8000", Dispatch: d.Do, Service: lookUp,
+//	})
+//	go f.Serve()
+//	<-f.Ready()
+//	…
+//	f.Drain(ctx) // returns when no request is in flight
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/core/trace"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/state/overlay"
+)
+
+const (
+	// signalTime replaces the times after which go-zero ends a process that
+	// got SIGTERM: the process ends itself when its requests are done.
+	signalTime = 100 * 365 * 24 * time.Hour
+	// headerTime bounds the reading of a request's header, so that slow
+	// senders cannot hold connections for ever.
+	headerTime = 10 * time.Second
+	// headerSlack is how far above the limit the server still reads a header.
+	headerSlack = 8
+	// idleTime bounds how long a caller's unused connection is kept.
+	idleTime = 2 * time.Minute
+)
+
+// Config sets up a Front.
+type Config struct {
+	// Addr is the address to listen on.
+	Addr string
+	// Dispatch runs a request somewhere.
+	Dispatch func(ctx context.Context, r *mulberrylink.Request) mulberrylink.Result
+	// Settings returns the active configuration, nil when there is none.
+	Settings func() *overlay.Config
+	// Refuse returns a reason while no new work is taken. It may be nil.
+	Refuse func() mulberrylink.Reason
+	// Done is called once for each request. It may be nil.
+	Done func(Event)
+
+	MaxHeaderBytes int
+	MaxKeyedBytes  int64
+	MaxConns       int
+	MaxDepth       int
+}
+
+// Event describes one finished request.
+type Event struct {
+	Service string
+	Outcome mulberrylink.Outcome
+	Reason  mulberrylink.Reason
+	Status  int
+	// FirstByte is the time from the first byte in to the first byte out.
+	FirstByte time.Duration
+	// Upstream is the part of FirstByte that was spent at the upstream or
+	// waiting for a place there.
+	Upstream time.Duration
+}
+
+// Front is the HTTP entry.
+type Front struct {
+	cfg   Config
+	rest  *rest.Server
+	http  *http.Server
+	ready chan struct{}
+	addr  string
+	conns atomic.Int64
+
+	inFlight atomic.Int64
+	idle     sync.Cond
+	idleMu   sync.Mutex
+}
+
+// New returns a front that does not listen yet.
+func New(cfg Config) (*Front, error) {
+	host, portText, err := net.SplitHostPort(cfg.Addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "front address %q", cfg.Addr)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return nil, errors.Wrapf(err, "front address %q", cfg.Addr)
+	}
+	f := &Front{cfg: cfg, ready: make(chan struct{})}
+	f.idle.L = &f.idleMu
+	f.rest, err = rest.NewServer(RestConfig("front", host, port), rest.WithRouter(&catchAll{serve: f.serve}))
+	if err != nil {
+		return nil, errors.Wrap(err, "set up front")
+	}
+	return f, nil
+}
+
+// RestConfig returns a configuration of the library with every limit off and
+// its handling of signals without effect.
+func RestConfig(name, host string, port int) rest.RestConf {
+	return rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name: name,
+			// The library logs every call; the program logs its own events.
+			Log:       logx.LogConf{Mode: "console", Encoding: "plain", Level: "severe"},
+			Mode:      service.ProMode,
+			Telemetry: trace.Config{Disabled: true},
+			Shutdown:  proc.ShutdownConf{WrapUpTime: signalTime, WaitTime: 2 * signalTime},
+		},
+		Host: host, Port: port,
+		MaxConns: 0, MaxBytes: 0, Timeout: 0, CpuThreshold: 0,
+		Middlewares: rest.MiddlewaresConf{},
+	}
+}
+
+// Serve listens until the process ends or the address cannot be used.
+func (f *Front) Serve() (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Newf("serve front: %v", p) // the library panics on a used address
+		}
+	}()
+	f.rest.StartWithOpts(f.configure)
+	return nil
+}
+
+func (f *Front) configure(srv *http.Server) {
+	f.http = srv
+	// The server's own refusal lacks the outcome, so that it only stops what
+	// is far above the limit; read checks the limit itself.
+	srv.MaxHeaderBytes = headerSlack * f.cfg.MaxHeaderBytes
+	srv.ReadHeaderTimeout = headerTime
+	srv.IdleTimeout = idleTime
+	srv.ReadTimeout = 0
+	srv.WriteTimeout = 0
+	srv.ConnState = f.connState
+	srv.ErrorLog = nil
+	srv.BaseContext = func(lis net.Listener) context.Context {
+		f.addr = lis.Addr().String()
+		close(f.ready)
+		return context.Background()
+	}
+}
+
+// connState bounds the callers' connections. The server has no limit itself.
+func (f *Front) connState(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if n := f.conns.Add(1); f.cfg.MaxConns > 0 && n > int64(f.cfg.MaxConns) {
+			_ = conn.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		f.conns.Add(-1)
+	default:
+	}
+}
+
+// Ready is closed when the front listens.
+func (f *Front) Ready() <-chan struct{} { return f.ready }
+
+// Addr returns the address in use, once Ready is closed.
+func (f *Front) Addr() string { return f.addr }
+
+// InFlight returns the number of requests in flight.
+func (f *Front) InFlight() int { return int(f.inFlight.Load()) }
+
+// Drain waits until no request is in flight. New ones are still answered, with
+// a refusal.
+func (f *Front) Drain(ctx context.Context) {
+	stop := context.AfterFunc(ctx, f.idle.Broadcast)
+	defer stop()
+	f.idleMu.Lock()
+	defer f.idleMu.Unlock()
+	for f.inFlight.Load() > 0 && ctx.Err() == nil {
+		f.idle.Wait()
+	}
+}
+
+// Shutdown closes the listener and waits until every answer was written.
+func (f *Front) Shutdown(ctx context.Context) error {
+	select {
+	case <-f.ready:
+	default:
+		return nil
+	}
+	return errors.Wrap(f.http.Shutdown(ctx), "shut down front")
+}
+
+func (f *Front) enter() { f.inFlight.Add(1) }
+
+func (f *Front) leave() {
+	if f.inFlight.Add(-1) > 0 {
+		return
+	}
+	f.idleMu.Lock()
+	f.idle.Broadcast()
+	f.idleMu.Unlock()
+}
+
+// catchAll is a router that gives every request to one handler.
+type catchAll struct{ serve http.HandlerFunc }
+
+var _ httpx.Router = (*catchAll)(nil)
+
+// ServeHTTP implements http.Handler.
+func (c *catchAll) ServeHTTP(w http.ResponseWriter, r *http.Request) { c.serve(w, r) }
+
+// Handle implements httpx.Router. The front has no routes of its own.
+func (c *catchAll) Handle(method, path string, _ http.Handler) error {
+	return errors.Newf("front has no route %s %s", method, path)
+}
+
+// SetNotFoundHandler implements httpx.Router.
+func (c *catchAll) SetNotFoundHandler(http.Handler) {}
+
+// SetNotAllowedHandler implements httpx.Router.
+func (c *catchAll) SetNotAllowedHandler(http.Handler) {}
+
+// Close closes the listener and every connection at once.
+func (f *Front) Close() error {
+	select {
+	case <-f.ready:
+		return errors.Wrap(f.http.Close(), "close front")
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/transport/front/serve.go
@@ -0,0 +1,200 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// Headers of answers that the system itself makes.
+const (
+	headerOutcome = "Mulberry-Outcome"
+	headerReason  = "Mulberry-Reason"
+	// HeaderTook carries the time in microseconds that an answer spent at its
+	// upstream, from the admitting node to the entry node. Callers do not see
+	// it.
+	HeaderTook = "Mulberry-Took"
+)
+
+const (
+	// retryAfter is the pause in seconds suggested after a refusal.
+	retryAfter = "1"
+	copyBytes  = 32 << 10
+)
+
+func (f *Front) serve(w http.ResponseWriter, h *http.Request) {
+	f.enter()
+	defer f.leave()
+	start := time.Now()
+	ev := Event{Service: serviceName(h.Host), Outcome: mulberrylink.NotRun}
+	defer func() {
+		if f.cfg.Done != nil {
+			f.cfg.Done(ev)
+		}
+	}()
+	if reason := f.refusal(); reason != mulberrylink.ReasonNone {
+		ev.Reason = reason
+		ev.Status = f.report(w, mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: reason})
+		return
+	}
+	cfg := f.cfg.Settings()
+	if cfg == nil {
+		ev.Reason = mulberrylink.ReasonNoConfig
+		ev.Status = f.report(w, mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: ev.Reason})
+		return
+	}
+	r, bad := f.read(h, cfg, start)
+	if bad != nil {
+		ev.Reason, ev.Status = bad.reason, bad.status
+		writeOwn(w, bad.status, mulberrylink.NotRun, bad.reason)
+		return
+	}
+	f.run(w, h, r, start, &ev)
+}
+
+func took(h http.Header) time.Duration {
+	us, err := strconv.ParseInt(h.Get(HeaderTook), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
+func (f *Front) refusal() mulberrylink.Reason {
+	if f.cfg.Refuse == nil {
+		return mulberrylink.ReasonNone
+	}
+	return f.cfg.Refuse()
+}
+
+func (f *Front) run(w http.ResponseWriter, h *http.Request, r *mulberrylink.Request, start time.Time, ev *Event) {
+	ctx, cancel := context.WithDeadline(h.Context(), r.Deadline)
+	defer cancel()
+	if _, ok := r.Body.(*streamBody); ok {
+		// The upstream may answer while the body is still being read.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+	res := f.cfg.Dispatch(ctx, r)
+	ev.Outcome, ev.Reason = res.Outcome, res.Reason
+	if res.Outcome != mulberrylink.Answered {
+		ev.Status = f.unanswered(w, r, res)
+		return
+	}
+	defer func() { _ = res.Answer.Body.Close() }()
+	ev.Status = res.Answer.Status
+	ev.Upstream = took(res.Answer.Header)
+	ev.FirstByte = time.Since(start)
+	if err := writeAnswer(w, h.Method, res.Answer); err != nil {
+		ev.Outcome, ev.Reason = mulberrylink.Unknown, mulberrylink.ReasonTruncated
+		// The connection must not end as if the answer were complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// unanswered reports a result without an answer. A body that the caller did
+// not complete is the caller's fault: it gets a 4xx with the true outcome.
+func (f *Front) unanswered(w http.ResponseWriter, r *mulberrylink.Request, res mulberrylink.Result) int {
+	if b, ok := r.Body.(*streamBody); ok && b.failed.Load() {
+		writeOwn(w, http.StatusBadRequest, res.Outcome, mulberrylink.ReasonBadRequest)
+		return http.StatusBadRequest
+	}
+	return f.report(w, res)
+}
+
+// report writes the status that belongs to a result without an answer.
+func (f *Front) report(w http.ResponseWriter, res mulberrylink.Result) int {
+	status := statusOf(res)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
+	}
+	writeOwn(w, status, res.Outcome, res.Reason)
+	return status
+}
+
+func statusOf(res mulberrylink.Result) int {
+	switch {
+	case res.Outcome == mulberrylink.NotRun && res.Reason == mulberrylink.ReasonConflict:
+		return http.StatusUnprocessableEntity // the key was used for another request
+	case res.Outcome == mulberrylink.NotRun:
+		return http.StatusServiceUnavailable
+	case res.Reason == mulberrylink.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+func writeOwn(w http.ResponseWriter, status int, outcome mulberrylink.Outcome, reason mulberrylink.Reason) {
+	text := "outcome=" + outcome.String() + " reason=" + reason.String() + "\n"
+	h := w.Header()
+	h.Set(headerOutcome, outcome.String())
+	h.Set(headerReason, reason.String())
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
+}
+
+// writeAnswer copies the answer of an upstream. It returns an error when the
+// answer was cut or the caller has gone.
+func writeAnswer(w http.ResponseWriter, method string, a *mulberrylink.Answer) error {
+	h := w.Header()
+	for k, vs := range endToEnd(a.Header) {
+		h[k] = vs
+	}
+	// Only the system itself may say what became of a request.
+	h.Del(headerOutcome)
+	h.Del(headerReason)
+	h.Del(HeaderTook)
+	if _, ok := h["Date"]; !ok {
+		h["Date"] = nil // the upstream sent none
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // no guessing
+	}
+	if method == http.MethodHead {
+		if vs := a.Header.Values("Content-Length"); len(vs) > 0 {
+			h["Content-Length"] = vs
+		}
+	} else if a.Length >= 0 && bodyAllowed(a.Status) {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	return copyBody(w, a)
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// copyBody sends what has arrived at once when the length is not known,
+// because the upstream may be sending piece by piece.
+func copyBody(w http.ResponseWriter, a *mulberrylink.Answer) error {
+	buf := make([]byte, copyBytes)
+	flush := http.NewResponseController(w)
+	for {
+		n, err := a.Body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return errors.Wrap(werr, "write to caller")
+			}
+			if a.Length < 0 {
+				if ferr := flush.Flush(); ferr != nil {
+					return errors.Wrap(ferr, "flush to caller")
+				}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read answer")
+		}
+	}
+}
--- a/transport/rpc/pool.go
+++ b/transport/rpc/pool.go
@@ -35,12 +35,19 @@
 
 // Get returns an idle connection to addr, or a new one.
 func (p *Pool) Get(ctx context.Context, addr string) (drpc.Conn, error) {
-	if conn := p.takeIdle(addr); conn != nil {
+	if conn, ok := p.Idle(addr); ok {
 		return conn, nil
 	}
 	return p.Dial(ctx, addr)
 }
 
+// Idle returns an idle connection to addr if there is one. Callers use it when
+// they must know whether the connection is a reused one.
+func (p *Pool) Idle(addr string) (drpc.Conn, bool) {
+	conn := p.takeIdle(addr)
+	return conn, conn != nil
+}
+
 // Dial returns a new connection to addr. Callers use it when an idle
 // connection may have gone silent.
 func (p *Pool) Dial(ctx context.Context, addr string) (drpc.Conn, error) {
