--- a/cmd/mulberrynode/admin.go
+++ b/cmd/mulberrynode/admin.go
@@ -163,7 +163,7 @@
 		_, _ = fmt.Fprintf(w, "ready=false reason=%s\n", entry)
 		return
 	}
-	_, _ = fmt.Fprintf(w, "ready=true version=%d admit=%s\n", a.node.active.version(), a.node.standing.admit())
+	_, _ = fmt.Fprintf(w, "ready=true version=%d admit=%s\n", a.node.active.version(), a.node.standing.admit(a.node.upstream.current().Service))
 }
 
 func (a *admin) metrics(w http.ResponseWriter, _ *http.Request) {
@@ -172,6 +172,6 @@
 }
 
 func (a *admin) version(w http.ResponseWriter, _ *http.Request) {
-	_, _ = fmt.Fprintf(w, "program=mulberrynode version=%s name=%s configuration=%d\n",
-		version, a.node.cfg.Node.Name, a.node.active.version())
+	_, _ = fmt.Fprintf(w, "config=%d program=mulberrynode build=%s name=%s\n",
+		a.node.active.version(), version, a.node.cfg.Node.Name)
 }
--- a/cmd/mulberrynode/admit.go
+++ b/cmd/mulberrynode/admit.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/admission"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/transport/backend"
 	"github.com/mulberrylink/mulberrylink/transport/front"
 )
@@ -23,12 +26,14 @@
 // admitter is the admitting side of the node: it checks whether the node may
 // take new work, waits for a place on the upstream and runs the request.
 type admitter struct {
-	refuse  func() mulberrylink.Reason
-	gate    gate
-	backend *backend.Backend
-	claims  answerRecorder // nil without control hosts
-	stats   *stats
-	busy    sync.WaitGroup // answers being recorded
+	refuse   func(service string) mulberrylink.Reason
+	gate     gate
+	backend  *backend.Backend
+	claims   answerRecorder // nil without control hosts
+	suspects *suspects
+	down     func() // called when the upstream refuses connections
+	stats    *stats
+	busy     sync.WaitGroup // answers being recorded
 }
 
 // Load implements forward.Runner.
@@ -36,31 +41,90 @@
 
 // Run implements forward.Runner.
 func (a *admitter) Run(ctx context.Context, r *mulberrylink.Request, alone bool, admitted func()) mulberrylink.Result {
-	if reason := a.refuse(); reason != mulberrylink.ReasonNone {
+	if reason := a.refuse(r.Service); reason != mulberrylink.ReasonNone {
 		return a.refused(reason)
 	}
+	switch a.suspects.list.Verdict(r.Print) {
+	case suspect.Refuse:
+		return a.refused(mulberrylink.ReasonCrasher)
+	case suspect.Alone:
+		alone = true
+	case suspect.Normal:
+	}
 	start := time.Now()
 	t, reason := a.gate.Enter(ctx, r, alone)
 	if t == nil {
 		return a.refused(reason)
 	}
 	admitted()
-	res := a.backend.Do(ctx, r)
-	done := completion{
-		Took: res.Took, Outcome: res.Outcome, Reason: res.Reason,
-		Refused: res.Refused, Died: res.Died,
+	sent := *r
+	if r.Body == nil {
+		t.Sent()
+	} else {
+		sent.Body = &sentReader{Reader: r.Body, sent: t.Sent}
+	}
+	res := a.backend.Do(ctx, &sent)
+	if res.Refused {
+		a.down()
 	}
 	if res.Outcome != mulberrylink.Answered {
-		t.Done(done)
+		t.Done(admission.Completion{Class: classOf(res)})
 		return res.Result
 	}
-	done.Status = res.Answer.Status
+	t.Responded()
 	us := time.Since(start).Microseconds()
 	res.Answer.Header.Set(front.HeaderTook, strconv.FormatInt(us, 10))
-	a.hold(ctx, r, res.Answer, func() { t.Done(done) })
+	a.hold(ctx, r, res.Answer, func(complete bool) {
+		t.Done(admission.Completion{Class: answerClass(res.Answer.Status, complete)})
+		if complete {
+			a.suspects.completed(r.Service, r.Print, alone)
+		}
+	})
 	return res.Result
 }
 
+// classOf tells the gate how a request without an answer ended.
+func classOf(res backend.Result) admission.Class {
+	switch {
+	case res.Refused:
+		return admission.Refused
+	case res.Died:
+		return admission.Died
+	case res.Reason == mulberrylink.ReasonShed:
+		return admission.Shed
+	case res.Reason == mulberrylink.ReasonCanceled || res.Reason == mulberrylink.ReasonDeadline:
+		return admission.Canceled
+	default:
+		return admission.Failure
+	}
+}
+
+func answerClass(status int, complete bool) admission.Class {
+	switch {
+	case !complete:
+		return admission.Canceled
+	case status >= http.StatusInternalServerError:
+		return admission.Failure
+	default:
+		return admission.Success
+	}
+}
+
+// sentReader tells when the whole body has been read for the upstream.
+type sentReader struct {
+	io.Reader
+	sent func()
+}
+
+// Read implements io.Reader.
+func (s *sentReader) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if err == io.EOF { //nolint:errorlint // a reader returns io.EOF itself
+		s.sent()
+	}
+	return n, err
+}
+
 func (a *admitter) refused(reason mulberrylink.Reason) mulberrylink.Result {
 	a.stats.refused(reason)
 	return mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: reason, Load: a.gate.Load()}
@@ -68,13 +132,14 @@
 
 // hold keeps the place on the upstream until the answer was read or the
 // request has ended, and records the answer of a claimed request.
-func (a *admitter) hold(ctx context.Context, r *mulberrylink.Request, ans *mulberrylink.Answer, done func()) {
+func (a *admitter) hold(ctx context.Context, r *mulberrylink.Request, ans *mulberrylink.Answer, done func(complete bool)) {
 	var once sync.Once
-	leave := func() { once.Do(done) }
-	stop := context.AfterFunc(ctx, leave)
-	body := &heldBody{ReadCloser: ans.Body, leave: func() { stop(); leave() }}
+	leave := func(complete bool) { once.Do(func() { done(complete) }) }
+	stop := context.AfterFunc(ctx, func() { leave(false) })
+	body := &heldBody{ReadCloser: ans.Body, leave: func(complete bool) { stop(); leave(complete) }}
 	if r.Keyed && a.claims != nil {
-		body.record = func(data []byte) { a.record(r, *ans, data) }
+		head := *ans
+		body.record = func(data []byte) { a.record(r, head, data) }
 	}
 	ans.Body = body
 }
@@ -94,7 +159,7 @@
 // heldBody is the body of an answer on the admitting side.
 type heldBody struct {
 	io.ReadCloser
-	leave  func()
+	leave  func(complete bool)
 	record func([]byte) // nil when the answer is not recorded
 	kept   []byte
 }
@@ -106,7 +171,7 @@
 		b.keep(p[:n], err)
 	}
 	if err != nil {
-		b.leave()
+		b.leave(err == io.EOF) //nolint:errorlint // a reader returns io.EOF itself
 	}
 	return n, err
 }
@@ -127,6 +192,6 @@
 // Close implements io.Closer.
 func (b *heldBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.leave()
+	b.leave(false)
 	return err
 }
--- /dev/null
+++ b/cmd/mulberrynode/connect.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/membership"
+	"github.com/mulberrylink/mulberrylink/protocol/gossip"
+)
+
+// connect builds the node and joins it to its group.
+func connect(ctx context.Context, cfg *nodeSettings, lis net.Listener, l *log.Logger) (*node, error) {
+	conn, err := gossip.Listen(cfg.Listen.RPC)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for gossip")
+	}
+	// The notes of other nodes and their loads arrive only after Run and Serve
+	// are started below, when n is set.
+	var n *node
+	group := membership.NewGroup(membership.Config{
+		Self: mulberrylink.Node{
+			Name: cfg.Node.Name, Domain: cfg.Node.Domain, Addr: cfg.Listen.RPC, Front: cfg.Listen.Front,
+			Incarnation: uint64(time.Now().UnixMilli()), //nolint:gosec // not before 1970
+		},
+		Seeds:  cfg.Peers.Seeds,
+		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		OnNote: func(kind uint8, data []byte) { n.suspects.receive(kind, data) },
+	}, conn)
+	n, err = newNode(cfg, parts{
+		group: group, gate: newGate(cfg.Measure.Policy), probe: conn.Probe, decode: decodeConfig,
+	}, lis, l)
+	if err != nil {
+		return nil, err
+	}
+	go group.Run(ctx)
+	go conn.Serve(gossip.Handlers{
+		Name: cfg.Node.Name, Deliver: group.Deliver,
+		Load: n.admitter.Load, OnLoad: n.policy.Report,
+	})
+	n.stats.gauge("gossip_bytes", func() int64 { return int64(group.SentBytes()) })
+	n.stats.gauge("gossip_probes", func() int64 {
+		probes, _, _ := conn.Counts()
+		return int64(probes)
+	})
+	return n, nil
+}
--- a/cmd/mulberrynode/needs.go
+++ b/cmd/mulberrynode/needs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/admission"
 )
 
 // group is the node group as this node sees it.
@@ -13,21 +14,16 @@
 	All() []mulberrylink.Node
 	Update(change func(self *mulberrylink.Node))
 	Broadcast(kind uint8, data []byte)
+	BroadcastService(service string, kind uint8, data []byte)
 	MaxVersion() (version uint64, addr string)
 	LastHeard() time.Time
 }
 
 // ticket is a place on the upstream.
-type ticket interface{ Done(completion) }
-
-// completion tells the gate how a request ended.
-type completion struct {
-	Took    time.Duration
-	Outcome mulberrylink.Outcome
-	Reason  mulberrylink.Reason
-	Status  int
-	Refused bool
-	Died    bool
+type ticket interface {
+	Sent()
+	Responded()
+	Done(admission.Completion)
 }
 
 // gate admits requests to the upstream.
@@ -38,8 +34,15 @@
 	Announce(a announcement)
 	// Ramp makes the limit grow from its cold value again.
 	Ramp()
+	// Configure sets the longest wait for a place.
+	Configure(queue time.Duration)
 }
 
+// systemClock implements the clocks of the coordination packages.
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
 // answerRecorder records the first answer of a claimed request.
 type answerRecorder interface {
 	Finish(ctx context.Context, r *mulberrylink.Request, a mulberrylink.Answer)
--- a/cmd/mulberrynode/node.go
+++ b/cmd/mulberrynode/node.go
@@ -9,6 +9,10 @@
 	"github.com/phuslu/log"
 
 	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/dispatch"
+	"github.com/mulberrylink/mulberrylink/coordination/retry"
+	"github.com/mulberrylink/mulberrylink/coordination/selection"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/protocol/forward"
 	"github.com/mulberrylink/mulberrylink/state/overlay"
 	"github.com/mulberrylink/mulberrylink/transport/backend"
@@ -19,14 +23,12 @@
 // parts are what a node is built from and tests replace.
 type parts struct {
 	group  group
-	link   controlLink // nil without control hosts
+	link   controlLink      // nil without control hosts
+	claims dispatch.Claimer // nil without control hosts
 	gate   gate
 	decode func(version uint64, data []byte) (*overlay.Config, error)
-	// dispatch runs a request of a caller. Nil means the baseline policy of
-	// the settings.
-	dispatch func(ctx context.Context, r *mulberrylink.Request) mulberrylink.Result
-	// died is called with the fingerprints in flight when the upstream died.
-	died func(prints []uint64)
+	// probe asks the node at an address for its load. It may be nil.
+	probe func(addr string)
 }
 
 // node is one running node.
@@ -48,6 +50,8 @@
 	lis      net.Listener
 	front    *front.Front
 	admin    *admin
+	suspects *suspects
+	policy   selection.Policy
 }
 
 // newNode builds a node on the listener for rpc.
@@ -59,8 +63,15 @@
 		domain: cfg.Node.Domain, active: n.active, upstream: n.upstream,
 		heard: n.heard(), now: time.Now, log: l,
 	}
+	n.suspects = &suspects{
+		list: suspect.New(suspect.Config{Clock: systemClock{}}), group: p.group,
+		service: func() string { return n.upstream.current().Service }, log: l,
+	}
 	n.backend = backend.New(backend.Config{Died: n.upstreamDied})
-	n.admitter = &admitter{refuse: n.standing.admit, gate: p.gate, backend: n.backend, stats: n.stats}
+	n.admitter = &admitter{
+		refuse: n.standing.admit, gate: p.gate, backend: n.backend, suspects: n.suspects, stats: n.stats,
+		down: n.upstream.down,
+	}
 	if p.link != nil {
 		n.admitter.claims = p.link
 	}
@@ -75,13 +86,19 @@
 }
 
 func (n *node) servers() (err error) {
-	dispatch := n.parts.dispatch
-	if dispatch == nil {
-		d := &basicDispatcher{policy: n.cfg.Measure.Policy, group: n.parts.group, fwd: n.fwd}
-		dispatch = d.Do
+	if n.policy, err = n.newPolicy(); err != nil {
+		return err
 	}
+	d := dispatch.New(dispatch.Config{
+		Clock: systemClock{}, Forwarder: n.fwd, Claimer: n.claimer(), Picker: n.policy,
+		Suspects: n.suspects.list,
+		Budget: retry.New(retry.Config{
+			Clock: systemClock{}, Registry: n.stats.registry, Percent: n.retryPercent,
+		}),
+		Spread: func(notices []suspect.Notice) { n.suspects.spread("", notices) },
+	})
 	n.front, err = front.New(front.Config{
-		Addr: n.cfg.Listen.Front, Dispatch: dispatch,
+		Addr: n.cfg.Listen.Front, Dispatch: d.Do,
 		Settings: n.active.config, Refuse: n.standing.entry, Done: n.stats.finished,
 		MaxHeaderBytes: n.cfg.Limits.Header, MaxKeyedBytes: int64(n.cfg.Limits.Keyed),
 		MaxConns: n.cfg.Limits.Connections, MaxDepth: n.cfg.Limits.Depth,
@@ -93,6 +110,25 @@
 	return err
 }
 
+// claimer refuses every claim when there are no control hosts.
+func (n *node) claimer() dispatch.Claimer {
+	if n.parts.claims == nil {
+		return noClaims{}
+	}
+	return n.parts.claims
+}
+
+// noClaims implements dispatch.Claimer without a quorum.
+type noClaims struct{}
+
+// Claim implements dispatch.Claimer.
+func (noClaims) Claim(context.Context, *mulberrylink.Request) dispatch.Claim {
+	return dispatch.Claim{State: dispatch.Unavailable}
+}
+
+// Release implements dispatch.Claimer.
+func (noClaims) Release(context.Context, *mulberrylink.Request) {}
+
 // heard returns when anyone was last heard from, nil when nobody is
 // configured.
 func (n *node) heard() func() time.Time {
@@ -119,6 +155,7 @@
 	go func() { failed <- n.front.Serve() }()
 	go n.upstream.watch(ctx, time.Now)
 	go n.standing.watch(ctx, n.parts.gate.Ramp)
+	go n.probe(ctx)
 	go n.active.follow(ctx, n.parts.link, n.parts.group, n.client)
 	timer := time.NewTimer(startTime)
 	defer timer.Stop()
@@ -142,6 +179,9 @@
 const startTime = 5 * time.Second
 
 func (n *node) configChanged(_, next *committed) {
+	if s, ok := next.cfg.Service(n.upstream.current().Service); ok {
+		n.parts.gate.Configure(s.Queue)
+	}
 	n.parts.group.Update(func(self *mulberrylink.Node) { self.Version = next.version })
 }
 
@@ -152,6 +192,11 @@
 		n.backend.Use(backend.Target{Addr: a.Addr, Connections: a.Connections})
 	}
 	n.parts.gate.Announce(a)
+	if cfg := n.active.config(); cfg != nil {
+		if s, ok := cfg.Service(a.Service); ok {
+			n.parts.gate.Configure(s.Queue)
+		}
+	}
 	n.parts.group.Update(func(self *mulberrylink.Node) {
 		self.Service = a.Service
 		self.Slots = a.Slots
@@ -162,9 +207,8 @@
 func (n *node) upstreamDied(prints []uint64) {
 	n.stats.count("upstream_died")
 	n.log.Warn().Int("inflight", len(prints)).Msg("upstream died")
-	if n.parts.died != nil {
-		n.parts.died(prints)
-	}
+	n.suspects.crashed(prints)
+	n.upstream.down()
 }
 
 func (n *node) gauges() {
--- a/cmd/mulberrynode/node_test.go
+++ b/cmd/mulberrynode/node_test.go
@@ -77,6 +77,8 @@
 
 func (g *fakeGroup) Broadcast(uint8, []byte) {}
 
+func (g *fakeGroup) BroadcastService(string, uint8, []byte) {}
+
 func (v view) Update(change func(*mulberrylink.Node)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -131,7 +133,7 @@
 		n.Name, n.Domain, n.Addr = cfg.Node.Name, cfg.Node.Domain, lis.Addr().String()
 	})
 	p := parts{
-		group: v, gate: &slotGate{},
+		group: v, gate: newGate(cfg.Measure.Policy),
 		decode: func(version uint64, _ []byte) (*overlay.Config, error) { return testConfig(version), nil },
 	}
 	if change != nil {
--- a/cmd/mulberrynode/run.go
+++ b/cmd/mulberrynode/run.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/phuslu/log"
-
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/transport/events"
 )
@@ -39,11 +37,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p, err := buildParts(ctx, cfg, l)
-	if err != nil {
-		return err
-	}
-	n, err := newNode(cfg, p, lis, l)
+	n, err := connect(ctx, cfg, lis, l)
 	if err != nil {
 		return err
 	}
@@ -90,8 +84,3 @@
 	n.log.Info().Msg("node left")
 	return nil
 }
-
-// buildParts connects the node to its group and its control hosts.
-func buildParts(context.Context, *nodeSettings, *log.Logger) (parts, error) {
-	return parts{}, errors.New("node group is not available in this build")
-}
--- a/cmd/mulberrynode/slotgate.go
+++ b/cmd/mulberrynode/slotgate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/admission"
 )
 
 // slotGate is the gate of the baseline policies: only the upstream's
@@ -17,6 +18,12 @@
 	latency  float64
 }
 
+// slotTicket is a place at a slotGate.
+type slotTicket struct {
+	gate  *slotGate
+	start time.Time
+}
+
 // Enter implements gate.
 func (g *slotGate) Enter(context.Context, *mulberrylink.Request, bool) (ticket, mulberrylink.Reason) {
 	g.mu.Lock()
@@ -25,7 +32,7 @@
 		return nil, mulberrylink.ReasonBusy
 	}
 	g.inFlight++
-	return (*slotTicket)(g), mulberrylink.ReasonNone
+	return &slotTicket{gate: g, start: time.Now()}, mulberrylink.ReasonNone
 }
 
 // Load implements gate.
@@ -45,16 +52,25 @@
 // Ramp implements gate. A fixed limit does not grow.
 func (g *slotGate) Ramp() {}
 
-// slotTicket is a place at a slotGate.
-type slotTicket slotGate
+// Configure implements gate. Nothing waits at this gate.
+func (g *slotGate) Configure(time.Duration) {}
 
 // latencyShare is the weight of the newest request in the mean latency.
 const latencyShare = 0.1
 
+// Sent implements ticket.
+func (t *slotTicket) Sent() {}
+
+// Responded implements ticket.
+func (t *slotTicket) Responded() {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	t.gate.latency += latencyShare * (time.Since(t.start).Seconds() - t.gate.latency)
+}
+
 // Done implements ticket.
-func (t *slotTicket) Done(c completion) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inFlight--
-	t.latency += latencyShare * (c.Took.Seconds() - t.latency)
+func (t *slotTicket) Done(admission.Completion) {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	t.gate.inFlight--
 }
--- a/cmd/mulberrynode/standing.go
+++ b/cmd/mulberrynode/standing.go
@@ -44,15 +44,15 @@
 	}
 }
 
-// admit returns the reason to refuse work for the local upstream.
-func (s *standing) admit() mulberrylink.Reason {
+// admit returns the reason to refuse work of a service for the local upstream.
+func (s *standing) admit(service string) mulberrylink.Reason {
 	if reason := s.entry(); reason != mulberrylink.ReasonNone {
 		return reason
 	}
 	if reason := s.place(); reason != mulberrylink.ReasonNone {
 		return reason
 	}
-	return s.upstream.refuse()
+	return s.upstream.refuse(service)
 }
 
 // place returns the reason that lies in the failure domain or the network.
--- a/cmd/mulberrynode/upstream.go
+++ b/cmd/mulberrynode/upstream.go
@@ -78,11 +78,23 @@
 	old := u.cur
 	u.cur = a
 	old.Expires = a.Expires
-	if old != a {
-		u.log.Info().Str("service", a.Service).Str("addr", a.Addr).Str("state", a.State.String()).
-			Int("slots", a.Slots).Uint64("incarnation", a.Incarnation).Msg("upstream announced")
-		u.changed(a)
+	if old == a {
+		return
+	}
+	u.log.Info().Str("service", a.Service).Str("addr", a.Addr).Str("state", a.State.String()).
+		Int("slots", a.Slots).Uint64("incarnation", a.Incarnation).Msg("upstream announced")
+	u.changed(a)
+}
+
+// down marks the upstream as down until its next announcement.
+func (u *upstream) down() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.cur.State == mulberrylink.UpstreamDown {
+		return
 	}
+	u.cur.State = mulberrylink.UpstreamDown
+	u.changed(u.cur)
 }
 
 // expire marks the upstream as down once its announcement has expired.
@@ -116,9 +128,13 @@
 	return u.cur
 }
 
-// refuse returns the reason to refuse work for the upstream.
-func (u *upstream) refuse() mulberrylink.Reason {
-	switch u.current().State {
+// refuse returns the reason to refuse work of the service for the upstream.
+func (u *upstream) refuse(service string) mulberrylink.Reason {
+	cur := u.current()
+	if cur.Service != service {
+		return mulberrylink.ReasonNoUpstream // the record of this node was stale
+	}
+	switch cur.State {
 	case mulberrylink.UpstreamDown:
 		return mulberrylink.ReasonNoUpstream
 	case mulberrylink.UpstreamDraining:
