--- /dev/null
+++ b/cmd/mulberrynode/front_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// rawCall writes text to the front of n, closes the sending side when closing
+// is set, and returns the answer.
+func rawCall(t *testing.T, n *node, text string, closing bool) (*http.Response, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", n.front.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	io.WriteString(c, text)
+	if closing {
+		c.(*net.TCPConn).CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	return http.ReadResponse(bufio.NewReader(c), nil)
+}
+
+// Guards against bad requests that reach an upstream, get a status other than
+// 4xx or lack the headers that tell the caller that nothing was run.
+func TestBadRequestsAreRefused(t *testing.T) {
+	g := newFakeGroup()
+	n := startNode(t, g, "a", "d1")
+	var runs atomic.Int64
+	announceUpstream(t, n, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	big := strings.Repeat("x", 1<<20+1)
+	cases := []struct {
+		name, text string
+		closing    bool
+		status     int
+		reason     mulberrylink.Reason
+	}{
+		{"unknown service", "GET /patterns HTTP/1.1\r\nHost: nobody\r\n\r\n", false, 404, mulberrylink.ReasonNoService},
+		{"unknown path", "GET /none HTTP/1.1\r\nHost: archive\r\n\r\n", false, 404, mulberrylink.ReasonNoRoute},
+		{"path with the route as a prefix only", "GET /patternsx HTTP/1.1\r\nHost: archive\r\n\r\n", false, 404, mulberrylink.ReasonNoRoute},
+		{"unknown method", "DELETE /patterns HTTP/1.1\r\nHost: archive\r\n\r\n", false, 404, mulberrylink.ReasonNoRoute},
+		{"asterisk", "OPTIONS * HTTP/1.1\r\nHost: archive\r\n\r\n", false, 400, mulberrylink.ReasonBadRequest},
+		{"empty key", "POST /filings HTTP/1.1\r\nHost: archive\r\nIdempotency-Key: \r\nContent-Length: 1\r\n\r\nx", false, 400, mulberrylink.ReasonBadKey},
+		{"key with a space", "POST /filings HTTP/1.1\r\nHost: archive\r\nIdempotency-Key: a b\r\nContent-Length: 1\r\n\r\nx", false, 400, mulberrylink.ReasonBadKey},
+		{"two keys", "POST /filings HTTP/1.1\r\nHost: archive\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 1\r\n\r\nx", false, 400, mulberrylink.ReasonBadKey},
+		{"long key", "POST /filings HTTP/1.1\r\nHost: archive\r\nIdempotency-Key: " + strings.Repeat("k", 256) + "\r\nContent-Length: 1\r\n\r\nx", false, 400, mulberrylink.ReasonBadKey},
+		{"short body", "PUT /patterns HTTP/1.1\r\nHost: archive\r\nContent-Length: 10\r\n\r\nabc", true, 400, mulberrylink.ReasonBadRequest},
+		{"keyed body too large", "POST /filings HTTP/1.1\r\nHost: archive\r\nIdempotency-Key: a\r\nContent-Length: 1048577\r\n\r\n" + big, false, 413, mulberrylink.ReasonTooLarge},
+		{"keyed chunked body too large", "POST /filings HTTP/1.1\r\nHost: archive\r\nIdempotency-Key: a\r\nTransfer-Encoding: chunked\r\n\r\n100001\r\n" + big + "\r\n0\r\n\r\n", false, 413, mulberrylink.ReasonTooLarge},
+		{"large header", "GET /patterns HTTP/1.1\r\nHost: archive\r\nX: " + strings.Repeat("h", 70<<10) + "\r\n\r\n", false, 431, mulberrylink.ReasonTooLarge},
+		{"timeout that is no number", "GET /patterns HTTP/1.1\r\nHost: archive\r\nMulberry-Timeout: soon\r\n\r\n", false, 400, mulberrylink.ReasonBadRequest},
+		{"negative depth", "GET /patterns HTTP/1.1\r\nHost: archive\r\nMulberry-Depth: -1\r\n\r\n", false, 400, mulberrylink.ReasonBadRequest},
+		{"loop of calls", "GET /patterns HTTP/1.1\r\nHost: archive\r\nMulberry-Depth: 64\r\n\r\n", false, 508, mulberrylink.ReasonDepth},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			resp, err := rawCall(t, n, c.text, c.closing)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(resp.Header.Get("Mulberry-Outcome"), "notrun")
+			is.Equal(resp.Header.Get("Mulberry-Reason"), c.reason.String())
+		})
+	}
+	is.New(t).Equal(runs.Load(), int64(0))
+}
+
+// Guards against a cut answer that ends as if it were complete, on the node
+// beside the upstream and through another node, with and without a length.
+func TestCutAnswerAbortsTheConnection(t *testing.T) {
+	g := newFakeGroup()
+	entry := startNode(t, g, "a", "d1")
+	beside := startNode(t, g, "b", "d1")
+	announceUpstream(t, beside, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("length") != "" {
+			w.Header().Set("Content-Length", "200000")
+		}
+		w.Write(make([]byte, 100_000))
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	for _, n := range []*node{entry, beside} {
+		for _, query := range []string{"", "?length=1"} {
+			t.Run(n.cfg.Node.Name+query, func(t *testing.T) {
+				is := is.New(t)
+				resp, err := rawCall(t, n, "GET /patterns"+query+" HTTP/1.1\r\nHost: archive\r\n\r\n", false)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, 200)
+				_, err = io.Copy(io.Discard, resp.Body)
+				is.True(err != nil)
+			})
+		}
+	}
+}
+
+// Guards against uploads and downloads of 64 MiB that are changed on their way
+// through two nodes.
+func TestLargeBodiesPassBothWays(t *testing.T) {
+	const size = 64 << 20
+	is := is.New(t)
+	g := newFakeGroup()
+	entry := startNode(t, g, "a", "d1")
+	beside := startNode(t, g, "b", "d1")
+	announceUpstream(t, beside, func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Got", fmt.Sprint(n, err))
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		io.Copy(w, io.LimitReader(zeros{}, size))
+	})
+	req, err := http.NewRequest("PUT", "http://"+entry.front.Addr()+"/patterns", io.LimitReader(zeros{}, size))
+	is.NoErr(err)
+	req.Host = "archive"
+	req.ContentLength = size
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.Header.Get("X-Got"), fmt.Sprint(size, nil))
+	n, err := io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(size))
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against an unknown outcome that is reported as not run: an upstream
+// that takes a request and closes the connection may have run it.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	g := newFakeGroup()
+	entry := startNode(t, g, "a", "d1")
+	beside := startNode(t, g, "b", "d1")
+	var runs atomic.Int64
+	announceUpstream(t, beside, func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			runs.Add(1)
+		}
+		panic(http.ErrAbortHandler)
+	})
+	for i, n := range []*node{entry, beside} {
+		status, h, _ := call(t, n, "POST", "/filings", "x")
+		is.Equal(status, http.StatusBadGateway)
+		is.Equal(h.Get("Mulberry-Outcome"), "unknown")
+		is.Equal(runs.Load(), int64(i+1))
+	}
+}
+
+// Guards against a caller's trailing data or headers of one connection that
+// reach the upstream.
+func TestHopHeadersStayHere(t *testing.T) {
+	is := is.New(t)
+	g := newFakeGroup()
+	n := startNode(t, g, "a", "d1")
+	var got http.Header
+	announceUpstream(t, n, func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		w.Header().Set("Mulberry-Outcome", "notrun") // must not pass as the system's word
+		w.Header().Set("Keep-Alive", "timeout=1")
+	})
+	_, h, _ := call(t, n, "GET", "/patterns", "", "Connection", "X-Drop", "X-Drop", "1", "X-Keep", "2", "Te", "trailers")
+	is.Equal(got.Get("X-Drop"), "")
+	is.Equal(got.Get("Te"), "")
+	is.Equal(got.Get("X-Keep"), "2")
+	is.Equal(h.Get("Mulberry-Outcome"), "")
+	is.Equal(h.Get("Keep-Alive"), "")
+}
+
+// Guards against an announcement that is half understood.
+func TestBadAnnouncementsAreRefused(t *testing.T) {
+	n := startNode(t, newFakeGroup(), "a", "d1")
+	for name, body := range map[string]string{
+		"state":   "service=s&addr=127.0.0.1:1&slots=1&state=fine&ttl=1000",
+		"slots":   "service=s&addr=127.0.0.1:1&slots=many&state=ready&ttl=1000",
+		"addr":    "service=s&addr=localhost:1&slots=1&state=ready&ttl=1000",
+		"ttl":     "service=s&addr=127.0.0.1:1&slots=1&state=ready&ttl=0",
+		"service": "addr=127.0.0.1:1&slots=1&state=ready&ttl=1000",
+		"JSON":    "{",
+	} {
+		is := is.New(t)
+		kind := "application/x-www-form-urlencoded"
+		if name == "JSON" {
+			kind = "application/json"
+		}
+		resp, err := http.Post("http://"+n.admin.addr+"/announce", kind, strings.NewReader(body))
+		is.NoErr(err)
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusBadRequest)
+		is.True(bytes.Contains(text, []byte(name))) // names the field
+	}
+	is.New(t).Equal(n.upstream.current().State, mulberrylink.UpstreamDown)
+}
--- a/cmd/mulberrynode/standing.go
+++ b/cmd/mulberrynode/standing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,8 +28,12 @@
 	// when none is configured.
 	heard   func() time.Time
 	now     func() time.Time
-	leaving atomic.Bool
 	log     *log.Logger
+	leaving atomic.Bool
+
+	mu     sync.Mutex
+	last   time.Time // as reported
+	lastAt time.Time // when that value was first seen
 }
 
 // entry returns the reason to refuse callers. A node whose domain is out still
@@ -67,8 +72,20 @@
 	}
 }
 
+// isolated notes on the monotonic clock when the time of the last message
+// changes, because the wall clocks of hosts jump.
 func (s *standing) isolated() bool {
-	return s.heard != nil && s.now().Sub(s.heard()) > isolationTime
+	if s.heard == nil {
+		return false
+	}
+	last, now := s.heard(), s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !last.Equal(s.last) {
+		s.last = last
+		s.lastAt = now
+	}
+	return now.Sub(s.lastAt) > isolationTime
 }
 
 // watch calls back whenever the node may take work again, until ctx ends.
--- a/transport/backend/do.go
+++ b/transport/backend/do.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -42,7 +43,7 @@
 	}
 	res.Answer.Body = &answerBody{
 		ReadCloser: res.Answer.Body,
-		cut:        func() { b.cutAnswer(c) },
+		cut:        func() { b.cutAnswer(c, flight) },
 		leave:      func() { b.deaths.leave(flight) },
 	}
 	return res.Result
@@ -100,7 +101,7 @@
 		t.Reason = mulberrylink.ReasonBadRequest
 	default:
 		t.Reason = mulberrylink.ReasonLost
-		t.cut = true
+		t.cut = isCut(err)
 	}
 	return t
 }
@@ -237,9 +238,12 @@
 	return err
 }
 
+// isCut reports whether the connection ended, as it does when the process of
+// the upstream dies. An answer that cannot be parsed is no such sign.
 func isCut(err error) bool {
 	var op *net.OpError
-	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op) ||
+		strings.Contains(err.Error(), "server closed idle connection") // not exported by net/http
 }
 
 func notRun(reason mulberrylink.Reason) mulberrylink.Result {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -153,6 +153,7 @@
 	// The server's own refusal lacks the outcome, so that it only stops what
 	// is far above the limit; read checks the limit itself.
 	srv.MaxHeaderBytes = headerSlack * f.cfg.MaxHeaderBytes
+	srv.DisableGeneralOptionsHandler = true // it would answer "OPTIONS *" without an outcome
 	srv.ReadHeaderTimeout = headerTime
 	srv.IdleTimeout = idleTime
 	srv.ReadTimeout = 0
