--- /dev/null
+++ b/cmd/mulberrynode/process_test.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/mulberrylink/mulberrylink/state/codec"
+	"github.com/mulberrylink/mulberrylink/transport/events"
+)
+
+// runAsNode makes the test binary run as mulberrynode.
+const runAsNode = "MULBERRYNODE_TEST_PROCESS"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runAsNode) != "" {
+		main()
+		return
+	}
+	testscript.Main(m, map[string]func(){"mulberrynode": main})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
+}
+
+// freeAddr returns a loopback address that is free for TCP and UDP.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	for range 20 {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := lis.Addr().String()
+		udp, err := net.ListenPacket("udp", addr)
+		lis.Close()
+		if err == nil {
+			udp.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free address")
+	return ""
+}
+
+// startPeer runs a node with the real group in this process. It holds the
+// configuration that other nodes take over.
+func startPeer(t *testing.T) (addr string, peer *node) {
+	t.Helper()
+	cfg := testSettings("peer", "d1")
+	cfg.Listen.RPC = freeAddr(t)
+	cfg.Peers.Seeds = nil
+	lis, err := net.Listen("tcp", cfg.Listen.RPC)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n, err := connect(ctx, cfg, lis, events.New(os.Stderr, "error", "test", "peer"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.start(ctx, make(chan error, 3)); err != nil {
+		t.Fatal(err)
+	}
+	data, err := codec.Marshal(testConfig(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.active.adopt(1, data, "test")
+	t.Cleanup(func() {
+		cancel()
+		n.front.Close()
+		n.admin.http.Close()
+	})
+	return cfg.Listen.RPC, n
+}
+
+type process struct {
+	cmd          *exec.Cmd
+	front, admin string
+	done         chan error
+}
+
+// startProcess runs mulberrynode as a process of its own with one seed.
+func startProcess(t *testing.T, seed string) *process {
+	t.Helper()
+	p := &process{front: freeAddr(t), admin: freeAddr(t), done: make(chan error, 1)}
+	file := filepath.Join(t.TempDir(), "node.ini")
+	text := fmt.Sprintf("[node]\nname = child\ndomain = d2\n[listen]\nfront = %s\nrpc = %s\nadmin = %s\n[peers]\nseeds = %s\n[log]\nlevel = error\n",
+		p.front, freeAddr(t), p.admin, seed)
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(os.Args[0], "run", "--config", file)
+	p.cmd.Env = append(os.Environ(), runAsNode+"=1")
+	p.cmd.Stderr = os.Stderr
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.done <- p.cmd.Wait() }()
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	return p
+}
+
+// until polls check for at most 10 s.
+func until(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !check(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timeout: %s", what)
+		}
+	}
+}
+
+func get(url, host string) (int, string) {
+	req, _ := http.NewRequest("GET", url, nil)
+	req.Host = host
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, resp.Header.Get("Mulberry-Reason")
+}
+
+// Guards against a stop that cuts an upload: go-zero would end the process
+// 5.5 s after the first signal and at once after a second one. Guards also
+// against a node that takes part without a configuration, or that does not get
+// it from its peers.
+func TestStopWaitsForUpload(t *testing.T) {
+	is := is.New(t)
+	seed, _ := startPeer(t)
+	p := startProcess(t, seed)
+	until(t, "node has the configuration of its peer", func() bool {
+		status, _ := get("http://"+p.admin+"/ready", "")
+		return status == http.StatusOK
+	})
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n, err)
+	}))
+	defer up.Close()
+	form := "service=archive&addr=" + up.Listener.Addr().String() + "&slots=6&state=ready&ttl=60000"
+	resp, err := http.Post("http://"+p.admin+"/announce", "application/x-www-form-urlencoded", strings.NewReader(form))
+	is.NoErr(err)
+	resp.Body.Close()
+
+	pr, pw := io.Pipe()
+	answer := make(chan string, 1)
+	go func() {
+		req, _ := http.NewRequest("PUT", "http://"+p.front+"/patterns", pr)
+		req.Host = "archive"
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		data, err := io.ReadAll(resp.Body)
+		answer <- fmt.Sprint(string(data), " ", err)
+	}()
+	part := make([]byte, 1<<20)
+	begin := time.Now()
+	for i := range 64 {
+		if _, err := pw.Write(part); err != nil {
+			t.Fatal(err)
+		}
+		if i == 5 || i == 15 {
+			is.NoErr(p.cmd.Process.Signal(syscall.SIGTERM))
+		}
+		if i == 20 {
+			status, reason := get("http://"+p.front+"/patterns", "archive")
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.Equal(reason, "leaving")
+		}
+		time.Sleep(120 * time.Millisecond)
+	}
+	pw.Close()
+	is.True(time.Since(begin) > 7*time.Second)
+	is.Equal(<-answer, fmt.Sprint(64<<20, nil, nil)) // read whole by the upstream, answered whole
+	select {
+	case err := <-p.done:
+		is.NoErr(err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("node does not end after its last request")
+	}
+}
--- a/cmd/mulberrynode/run.go
+++ b/cmd/mulberrynode/run.go
@@ -29,6 +29,9 @@
 	}
 	l := events.New(logs, cfg.Log.Level, "mulberrynode", cfg.Node.Name)
 	events.Redirect(l)
+	// go-zero takes the signals over when it is loaded and would close the
+	// listeners one second after the first one.
+	signal.Reset(syscall.SIGTERM, syscall.SIGINT)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	lis, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", cfg.Listen.RPC)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -42,8 +42,10 @@
 )
 
 const (
-	// signalTime replaces the times after which go-zero ends a process that
+	// signalTime replaces the time after which go-zero ends a process that
 	// got SIGTERM: the process ends itself when its requests are done.
+	// The library reads its other time, WrapUpTime, without a lock, so that
+	// setting it here would be a data race.
 	signalTime = 100 * 365 * 24 * time.Hour
 	// headerTime bounds the reading of a request's header, so that slow
 	// senders cannot hold connections for ever.
@@ -129,7 +131,7 @@
 			Log:       logx.LogConf{Mode: "console", Encoding: "plain", Level: "severe"},
 			Mode:      service.ProMode,
 			Telemetry: trace.Config{Disabled: true},
-			Shutdown:  proc.ShutdownConf{WrapUpTime: signalTime, WaitTime: 2 * signalTime},
+			Shutdown:  proc.ShutdownConf{WaitTime: signalTime},
 		},
 		Host: host, Port: port,
 		MaxConns: 0, MaxBytes: 0, Timeout: 0, CpuThreshold: 0,
