--- a/cmd/mulberrybench/compare/run.go
+++ b/cmd/mulberrybench/compare/run.go
@@ -193,8 +193,9 @@
 	return some
 }
 
-// probes returns the probes that the upstreams have answered. An upstream that
-// was restarted counts from zero, so that a sum is a lower bound in that case.
+// probes returns what measuring has cost so far: requests to the endpoints of
+// upstreams and load probes between nodes. An upstream that was restarted counts
+// from zero, so that the difference is a lower bound in that case.
 func probes(ctx context.Context, d *deployment.Deployment) int {
 	sum := 0
 	for _, u := range d.OfKind(deployment.KindUpstream) {
@@ -202,5 +203,10 @@
 			sum += s.Probes
 		}
 	}
+	for _, u := range d.OfKind(deployment.KindNode) {
+		if n, err := deployment.NodeCounter(ctx, u.Admin, "gossip_probes"); err == nil {
+			sum += n
+		}
+	}
 	return sum
 }
--- a/cmd/mulberrybench/deployment/ready.go
+++ b/cmd/mulberrybench/deployment/ready.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -115,6 +116,20 @@
 	return s, errors.Wrap(json.Unmarshal(body, &s), "counters of upstream")
 }
 
+// NodeCounter asks a node for one of its metrics.
+func NodeCounter(ctx context.Context, admin, name string) (int, error) {
+	body, err := ask(ctx, "http://"+admin+"/metrics")
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.SplitSeq(string(body), "\n") {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return strconv.Atoi(value)
+		}
+	}
+	return 0, errors.Newf("%s has no metric %s", admin, name)
+}
+
 // WaitWarm waits until an upstream is out of its cold start.
 func (d *Deployment) WaitWarm(ctx context.Context, u Unit) error {
 	return poll(ctx, func() error {
