--- a/cmd/mulberrybench/compare/run.go
+++ b/cmd/mulberrybench/compare/run.go
@@ -58,16 +58,7 @@
 	}
 	begin := time.Now()
 	_, _ = fmt.Fprintf(out, "cells=%d omitted=%q\n", o.Grid.Cells(), o.Grid.Omitted())
-	var all []result
-	for _, site := range o.Grid.Sites {
-		for _, policy := range o.Grid.Policies {
-			some, err := runDeployment(ctx, out, o, site, policy)
-			all = append(all, some...)
-			if err != nil {
-				return errors.Wrapf(err, "site %s policy %s", site, policy)
-			}
-		}
-	}
+	all, runErr := runGrid(ctx, out, o)
 	groups := group(all)
 	for _, line := range summary(groups) {
 		_, _ = fmt.Fprintln(out, line)
@@ -77,7 +68,21 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(out, "took=%s report=%s\n", time.Since(begin).Round(time.Second), path)
-	return faulty(all)
+	return errors.Join(runErr, faulty(all))
+}
+
+// runGrid returns the cells that were measured before the first error.
+func runGrid(ctx context.Context, out io.Writer, o Options) (all []result, err error) {
+	for _, site := range o.Grid.Sites {
+		for _, policy := range o.Grid.Policies {
+			some, err := runDeployment(ctx, out, o, site, policy)
+			all = append(all, some...)
+			if err != nil {
+				return all, errors.Wrapf(err, "site %s policy %s", site, policy)
+			}
+		}
+	}
+	return all, nil
 }
 
 // faulty returns an error when a cell broke an invariant.
--- a/cmd/mulberrybench/deployment/spec.go
+++ b/cmd/mulberrybench/deployment/spec.go
@@ -47,7 +47,7 @@
 }
 
 // OutDomain returns the failure domain that demo and compare take out of
-// service: not the first one, which holds a node and an upstream more.
+// service, the second one.
 func (s Spec) OutDomain() string { return s.domain(1) }
 
 // ReadSpec reads deployment.ini in the directory.
