--- a/coordination/admission/limiter.go
+++ b/coordination/admission/limiter.go
@@ -38,6 +38,7 @@
 	samples  int
 	fast     float64 // logarithm of the recent latency in seconds
 	slow     float64 // logarithm of the usual latency in seconds
+	last     float64 // logarithm of the latency of the last completion
 	spread   float64 // mean deviation of the logarithm
 	mean     float64 // recent mean latency in seconds
 	lastDone time.Time
@@ -46,7 +47,11 @@
 
 func (l *limiter) setSlots(n int) {
 	l.slots = max(1, n)
-	l.limit = min(max(1, l.limit), float64(l.slots))
+	l.limit = max(1, l.limit)
+	if l.limit > float64(l.slots) {
+		l.limit = float64(l.slots)
+		l.good = 0
+	}
 }
 
 // restart puts the limit back to cold.
@@ -61,6 +66,7 @@
 // forget drops what was learnt about the latency of a former process.
 func (l *limiter) forget() {
 	l.samples = 0
+	l.last = 0
 	l.mean = 0
 }
 
@@ -85,9 +91,11 @@
 	l.lastDone = now
 	l.before = 0
 	x := math.Log(max(took.Seconds(), 1e-6))
+	level := min(x, l.last)
+	l.last = x
 	inLine := l.learn(x, took.Seconds(), ok)
 	if l.samples >= warmSamples && l.fast-l.slow > l.shiftBound() {
-		l.slowed(cuts)
+		l.slowed(level, cuts)
 		return
 	}
 	if ok && inLine {
@@ -121,7 +129,10 @@
 
 // slowed divides the limit by the slowdown and takes the present latency as the
 // usual one, so that a lasting slowdown does not hold the limit down for ever.
-func (l *limiter) slowed(cuts uint64) {
+// level is what the last two completions reached; the fast estimate lags behind
+// it after a large step.
+func (l *limiter) slowed(level float64, cuts uint64) {
+	l.fast = max(l.fast, level)
 	factor := math.Exp(l.slow - l.fast)
 	l.slow = l.fast
 	if cuts == l.cuts {
@@ -145,6 +156,10 @@
 
 // grow raises the limit by one after enough completions in line.
 func (l *limiter) grow() {
+	if !l.cold() {
+		l.good = 0 // completions at full slots must not count after the slots grow
+		return
+	}
 	l.good++
 	if l.good < l.whole()*max(1, l.patience) {
 		return
