--- a/cmd/mulberrynode/admit.go
+++ b/cmd/mulberrynode/admit.go
@@ -69,6 +69,9 @@
 	}
 	if res.Outcome != mulberrylink.Answered {
 		t.Done(admission.Completion{Class: classOf(res)})
+		if res.Outcome == mulberrylink.Unknown && r.Keyed {
+			a.record(r, nil)
+		}
 		return res.Result
 	}
 	t.Responded()
@@ -137,18 +140,30 @@
 	leave := func(complete bool) { once.Do(func() { done(complete) }) }
 	stop := context.AfterFunc(ctx, func() { leave(false) })
 	body := &heldBody{ReadCloser: ans.Body, leave: func(complete bool) { stop(); leave(complete) }}
-	if r.Keyed && a.claims != nil {
+	if r.Keyed {
 		head := *ans
-		body.record = func(data []byte) { a.record(r, head, data) }
+		body.record = func(data []byte) { a.record(r, firstAnswer(head, data)) }
 	}
 	ans.Body = body
 }
 
+// firstAnswer returns the answer to record, nil when its body was too long or
+// was not read to its end.
+func firstAnswer(head mulberrylink.Answer, data []byte) *mulberrylink.Answer {
+	if data == nil {
+		return nil
+	}
+	head.Body = io.NopCloser(bytes.NewReader(data))
+	head.Length = int64(len(data))
+	return &head
+}
+
 // record stores the first answer under the claim. A repeat of the key gets it
-// from there.
-func (a *admitter) record(r *mulberrylink.Request, ans mulberrylink.Answer, data []byte) {
-	ans.Body = io.NopCloser(bytes.NewReader(data))
-	ans.Length = int64(len(data))
+// from there. With a nil answer a repeat gets a truthful unknown at once.
+func (a *admitter) record(r *mulberrylink.Request, ans *mulberrylink.Answer) {
+	if a.claims == nil {
+		return
+	}
 	a.busy.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), recordTime)
 		defer cancel()
@@ -160,8 +175,9 @@
 type heldBody struct {
 	io.ReadCloser
 	leave  func(complete bool)
-	record func([]byte) // nil when the answer is not recorded
+	record func([]byte) // nil when the answer is not recorded, or was already
 	kept   []byte
+	long   bool
 }
 
 // Read implements io.Reader.
@@ -177,21 +193,29 @@
 }
 
 func (b *heldBody) keep(p []byte, err error) {
-	if len(b.kept)+len(p) > recordedBytes {
-		b.record = nil
-		b.kept = nil
+	b.long = b.long || len(b.kept)+len(p) > recordedBytes
+	if !b.long {
+		b.kept = append(b.kept, p...)
+	}
+	if err == nil {
 		return
 	}
-	b.kept = append(b.kept, p...)
-	if err == io.EOF { //nolint:errorlint // a reader returns io.EOF itself
-		b.record(b.kept)
-		b.record = nil
+	if b.long || err != io.EOF { //nolint:errorlint // a reader returns io.EOF itself
+		b.kept = nil
+	} else if b.kept == nil {
+		b.kept = []byte{}
 	}
+	b.record(b.kept)
+	b.record = nil
 }
 
 // Close implements io.Closer.
 func (b *heldBody) Close() error {
 	err := b.ReadCloser.Close()
+	if b.record != nil {
+		b.record(nil)
+		b.record = nil
+	}
 	b.leave(false)
 	return err
 }
--- a/cmd/mulberrynode/config_test.go
+++ b/cmd/mulberrynode/config_test.go
@@ -23,7 +23,7 @@
 	heard   atomic.Int64
 }
 
-func (l *fakeLink) Finish(context.Context, *mulberrylink.Request, mulberrylink.Answer) {}
+func (l *fakeLink) Finish(context.Context, *mulberrylink.Request, *mulberrylink.Answer) {}
 
 func (l *fakeLink) Confirmed(context.Context) (version uint64, data []byte, err error) {
 	if l.version == 0 {
--- a/cmd/mulberrynode/connect.go
+++ b/cmd/mulberrynode/connect.go
@@ -11,7 +11,9 @@
 
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/membership"
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
 	"github.com/mulberrylink/mulberrylink/protocol/gossip"
+	"github.com/mulberrylink/mulberrylink/transport/rpc"
 )
 
 // connect builds the node and joins it to its group.
@@ -33,7 +35,7 @@
 		OnNote: func(kind uint8, data []byte) { n.suspects.receive(kind, data) },
 	}, conn)
 	n, err = newNode(cfg, parts{
-		group: group, gate: newGate(cfg.Measure.Policy), probe: conn.Probe, decode: decodeConfig,
+		hosts: newHosts(cfg), group: group, gate: newGate(cfg.Measure.Policy), probe: conn.Probe, decode: decodeConfig,
 	}, lis, l)
 	if err != nil {
 		return nil, err
@@ -50,3 +52,15 @@
 	})
 	return n, nil
 }
+
+// controlIdle is the number of idle connections kept for one control host.
+const controlIdle = 8
+
+// newHosts returns the client of the control hosts, nil when none are set.
+func newHosts(cfg *nodeSettings) *controlplane.Client {
+	if len(cfg.Control.Hosts) == 0 {
+		return nil
+	}
+	pool := rpc.NewPool(rpc.PoolConfig{DialTimeout: cfg.Limits.Dial, IdlePerAddr: controlIdle})
+	return controlplane.NewClient(pool, cfg.Control.Hosts)
+}
--- a/cmd/mulberrynode/decode.go
+++ b/cmd/mulberrynode/decode.go
@@ -1,16 +1,13 @@
 package main
 
-import (
-	"github.com/mulberrylink/mulberrylink/state/codec"
-	"github.com/mulberrylink/mulberrylink/state/overlay"
-)
+import "github.com/mulberrylink/mulberrylink/state/overlay"
 
 // decodeConfig reads the canonical bytes of a committed configuration.
 func decodeConfig(version uint64, data []byte) (*overlay.Config, error) {
-	var cfg overlay.Config
-	if err := codec.Unmarshal(data, &cfg); err != nil {
+	cfg, err := overlay.Decode(data)
+	if err != nil {
 		return nil, err
 	}
 	cfg.Version = version
-	return &cfg, nil
+	return cfg, nil
 }
--- a/cmd/mulberrynode/needs.go
+++ b/cmd/mulberrynode/needs.go
@@ -43,9 +43,10 @@
 
 func (systemClock) Now() time.Time { return time.Now() }
 
-// answerRecorder records the first answer of a claimed request.
+// answerRecorder records the first answer of a claimed request. With a nil
+// answer it records only that the request may have run.
 type answerRecorder interface {
-	Finish(ctx context.Context, r *mulberrylink.Request, a mulberrylink.Answer)
+	Finish(ctx context.Context, r *mulberrylink.Request, a *mulberrylink.Answer)
 }
 
 // controlLink is the connection to the control hosts.
--- a/cmd/mulberrynode/node.go
+++ b/cmd/mulberrynode/node.go
@@ -13,6 +13,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/retry"
 	"github.com/mulberrylink/mulberrylink/coordination/selection"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
 	"github.com/mulberrylink/mulberrylink/protocol/forward"
 	"github.com/mulberrylink/mulberrylink/state/overlay"
 	"github.com/mulberrylink/mulberrylink/transport/backend"
@@ -22,9 +23,12 @@
 
 // parts are what a node is built from and tests replace.
 type parts struct {
-	group  group
-	link   controlLink      // nil without control hosts
-	claims dispatch.Claimer // nil without control hosts
+	group group
+	// hosts is the client of the control hosts, nil without any.
+	hosts *controlplane.Client
+	// link and claims are made from hosts when they are nil.
+	link   controlLink
+	claims dispatch.Claimer
 	gate   gate
 	decode func(version uint64, data []byte) (*overlay.Config, error)
 	// probe asks the node at an address for its load. It may be nil.
@@ -59,6 +63,10 @@
 	n := &node{cfg: cfg, parts: p, log: l, lis: lis, stats: newStats()}
 	n.upstream = &upstream{changed: n.upstreamChanged, log: l}
 	n.active = &active{decode: p.decode, changed: n.configChanged, log: l}
+	if p.hosts != nil {
+		link := &hostLink{client: p.hosts, active: n.active, log: l}
+		n.parts.link, n.parts.claims = link, link
+	}
 	n.standing = &standing{
 		domain: cfg.Node.Domain, active: n.active, upstream: n.upstream,
 		heard: n.heard(), now: time.Now, log: l,
@@ -72,8 +80,8 @@
 		refuse: n.standing.admit, gate: p.gate, backend: n.backend, suspects: n.suspects, stats: n.stats,
 		down: n.upstream.down,
 	}
-	if p.link != nil {
-		n.admitter.claims = p.link
+	if n.parts.link != nil {
+		n.admitter.claims = n.parts.link
 	}
 	n.pool = rpc.NewPool(rpc.PoolConfig{DialTimeout: cfg.Limits.Dial, IdlePerAddr: cfg.Limits.Idle})
 	n.client = forward.NewClient(forward.ClientConfig{Pool: n.pool, Resolved: n.stats.resolved})
@@ -98,7 +106,7 @@
 		Spread: func(notices []suspect.Notice) { n.suspects.spread("", notices) },
 	})
 	n.front, err = front.New(front.Config{
-		Addr: n.cfg.Listen.Front, Dispatch: d.Do,
+		Name: n.cfg.Node.Name, Addr: n.cfg.Listen.Front, Dispatch: d.Do,
 		Settings: n.active.config, Refuse: n.standing.entry, Done: n.stats.finished,
 		MaxHeaderBytes: n.cfg.Limits.Header, MaxKeyedBytes: int64(n.cfg.Limits.Keyed),
 		MaxConns: n.cfg.Limits.Connections, MaxDepth: n.cfg.Limits.Depth,
@@ -156,6 +164,9 @@
 	go n.upstream.watch(ctx, time.Now)
 	go n.standing.watch(ctx, n.parts.gate.Ramp)
 	go n.probe(ctx)
+	if n.parts.hosts != nil {
+		go n.report(ctx, n.parts.hosts)
+	}
 	go n.active.follow(ctx, n.parts.link, n.parts.group, n.client)
 	timer := time.NewTimer(startTime)
 	defer timer.Stop()
--- a/cmd/mulberrynode/process_test.go
+++ b/cmd/mulberrynode/process_test.go
@@ -18,7 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/mulberrylink/mulberrylink/state/codec"
+	"github.com/mulberrylink/mulberrylink/state/overlay"
 	"github.com/mulberrylink/mulberrylink/transport/events"
 )
 
@@ -76,11 +76,7 @@
 	if err := n.start(ctx, make(chan error, 3)); err != nil {
 		t.Fatal(err)
 	}
-	data, err := codec.Marshal(testConfig(1))
-	if err != nil {
-		t.Fatal(err)
-	}
-	n.active.adopt(1, data, "test")
+	n.active.adopt(1, overlay.Encode(testConfig(1)), "test")
 	t.Cleanup(func() {
 		cancel()
 		n.front.Close()
--- a/protocol/forward/message.go
+++ b/protocol/forward/message.go
@@ -42,7 +42,7 @@
 	// node's own verdict may still arrive.
 	verdictGrace = 100 * time.Millisecond
 
-	maxIDBytes     = 64
+	maxIDBytes     = 256
 	maxHeaderBytes = 1 << 20
 )
 
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -58,6 +58,8 @@
 
 // Config sets up a Front.
 type Config struct {
+	// Name starts the identifiers of the requests that enter here.
+	Name string
 	// Addr is the address to listen on.
 	Addr string
 	// Dispatch runs a request somewhere.
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -75,7 +75,7 @@
 		return nil, refuse(http.StatusNotFound, mulberrylink.ReasonNoRoute)
 	}
 	r := &mulberrylink.Request{
-		ID: newID(), Service: svc.Name, Method: h.Method, Path: path,
+		ID: f.cfg.Name + "/" + newID(), Service: svc.Name, Method: h.Method, Path: path,
 		Header: endToEnd(h.Header), Length: h.ContentLength,
 		Idempotent: route.Idempotent,
 	}
