--- /dev/null
+++ b/cmd/mulberrynode/claims_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mulberrylink/mulberrylink/coordination/control"
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+	"github.com/mulberrylink/mulberrylink/transport/rpc"
+)
+
+// startControl runs one control host that keeps its log in memory.
+func startControl(t *testing.T) (addr string, stop func()) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := control.NewMachine()
+	srv := controlplane.NewServer(controlplane.ServerConfig{
+		Name: "c1", Log: controlplane.NewLocal(lis.Addr().String(), m), Machine: m, Now: time.Now,
+	})
+	s := rpc.NewServer(nil)
+	for method, h := range srv.Methods() {
+		s.Handle(method, h)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Serve(ctx, lis)
+	t.Cleanup(cancel)
+	return lis.Addr().String(), cancel
+}
+
+// Guards against a keyed request that runs twice, whose repeat gets another
+// answer than the first one, or that runs without a claim; the entry node and
+// the admitting node differ.
+func TestKeyedRequestRunsAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	addr, stop := startControl(t)
+	g := newFakeGroup()
+	start := func(name string) *node {
+		cfg := testSettings(name, "d1")
+		cfg.Control.Hosts = []string{addr}
+		return startWith(t, g, cfg, func(p *parts) { p.hosts = newHosts(cfg) })
+	}
+	one, two, beside := start("a"), start("b"), start("c")
+	var runs atomic.Int64
+	announceUpstream(t, beside, func(w http.ResponseWriter, r *http.Request) {
+		n := runs.Add(1)
+		body, _ := io.ReadAll(r.Body)
+		switch {
+		case strings.Contains(string(body), "cut"):
+			panic(http.ErrAbortHandler)
+		case strings.Contains(string(body), "long"):
+			w.Write(make([]byte, 64<<10))
+			return
+		}
+		w.Header().Set("X-Run", string(rune('0'+n)))
+		w.WriteHeader(http.StatusCreated)
+		io.WriteString(w, "filed "+string(body))
+	})
+	expect := func(n *node, key, body string, status int, reason, answer string) {
+		t.Helper()
+		got, h, text := call(t, n, "POST", "/filings", body, "Idempotency-Key", key)
+		is.Equal(got, status)
+		is.Equal(h.Get("Mulberry-Reason"), reason)
+		if answer != "" {
+			is.Equal(text, answer)
+		}
+	}
+	expect(one, "k1", "x", 201, "", "filed x")
+	time.Sleep(50 * time.Millisecond) // the first answer is recorded
+	expect(one, "k1", "x", 201, "", "filed x")
+	expect(two, "k1", "x", 201, "", "filed x")
+	expect(two, "k1", "y", 422, "conflict", "")
+	is.Equal(runs.Load(), int64(1))
+
+	expect(one, "k2", "cut", 502, "lost", "")
+	time.Sleep(50 * time.Millisecond)
+	expect(two, "k2", "cut", 502, "claimed", "") // a truthful unknown, at once
+	is.Equal(runs.Load(), int64(2))
+
+	expect(one, "k3", "long", 200, "", "")
+	time.Sleep(50 * time.Millisecond)
+	expect(two, "k3", "long", 502, "claimed", "") // the answer is too long to be held
+	is.Equal(runs.Load(), int64(3))
+
+	expect(one, "", "x", 400, "badkey", "")
+	stop()
+	time.Sleep(50 * time.Millisecond)
+	got, h, _ := call(t, one, "POST", "/filings", "z", "Idempotency-Key", "k4", "Mulberry-Timeout", "1500")
+	is.Equal(got, 503)
+	is.Equal(h.Get("Mulberry-Outcome"), "notrun")
+	is.Equal(runs.Load(), int64(3))
+	if t.Failed() {
+		one.stats.write(os.Stderr)
+	}
+}
--- a/protocol/forward/forward_test.go
+++ b/protocol/forward/forward_test.go
@@ -419,3 +419,50 @@
 	is.Equal(n+last, int64(size))
 	is.NoErr(res.Answer.Body.Close())
 }
+
+// Guards against an upload whose connection goes silent and that holds its
+// place on the upstream, or is reported as not run.
+func TestSilentUploadIsCutAndUnknown(t *testing.T) {
+	is := is.New(t)
+	var g *rig
+	cut := make(chan error, 1)
+	g = newRig(t, func(_ context.Context, r *mulberrylink.Request, admitted func()) mulberrylink.Result {
+		admitted()
+		_, err := io.Copy(io.Discard, r.Body)
+		cut <- err
+		return mulberrylink.Result{Outcome: mulberrylink.Unknown, Reason: mulberrylink.ReasonLost}
+	})
+	sent := 0
+	body := readFunc(func(p []byte) (int, error) {
+		if sent++; sent == 20 {
+			g.relay.cut()
+		}
+		time.Sleep(5 * time.Millisecond)
+		return len(p), nil
+	})
+	start := time.Now()
+	res, _, _ := g.forward(t, request(body, -1, 20*time.Second))
+	is.Equal(res.Outcome, mulberrylink.Unknown)
+	is.True(time.Since(start) < 2*time.Second)
+	is.True((<-cut) != nil)
+}
+
+// Guards against a place on the upstream that is held for an entry node which
+// has died without a word.
+func TestDeadEntryNodeFreesTheUpstream(t *testing.T) {
+	is := is.New(t)
+	var g *rig
+	canceled := make(chan time.Duration, 1)
+	g = newRig(t, func(ctx context.Context, _ *mulberrylink.Request, admitted func()) mulberrylink.Result {
+		admitted()
+		g.relay.cut()
+		g.relay.lis.Close() // nor can it resolve
+		start := time.Now()
+		<-ctx.Done()
+		canceled <- time.Since(start)
+		return mulberrylink.Result{Outcome: mulberrylink.Unknown, Reason: mulberrylink.ReasonCanceled}
+	})
+	res, _, _ := g.forward(t, request(nil, 0, 20*time.Second))
+	is.Equal(res.Outcome, mulberrylink.Unknown)
+	is.True((<-canceled) < 5*time.Second) // two silences of 2 s and a margin
+}
