Let go of callers that stall beyond the deadline of their request

A caller that stopped sending or reading held its connection for ever, because the server has no timeouts of its own, and a planned stop waited for it.

--- a/cmd/mulberrynode/front_test.go
+++ b/cmd/mulberrynode/front_test.go
@@ -161,6 +161,35 @@
 	}
 }
 
+// Guards against callers that stop sending or reading and hold their request,
+// and with it a planned stop, beyond its deadline.
+func TestStalledCallersAreLetGo(t *testing.T) {
+	is := is.New(t)
+	g := newFakeGroup()
+	entry := startNode(t, g, "a", "d1")
+	beside := startNode(t, g, "b", "d1")
+	announceUpstream(t, beside, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.Copy(w, io.LimitReader(zeros{}, 64<<20))
+	})
+	for _, text := range []string{
+		"PUT /patterns HTTP/1.1\r\nHost: archive\r\nMulberry-Timeout: 500\r\nContent-Length: 1000000\r\n\r\nabc",
+		"PUT /patterns HTTP/1.1\r\nHost: archive\r\nMulberry-Timeout: 500\r\nContent-Length: 10\r\n\r\nabc",
+		"POST /filings HTTP/1.1\r\nHost: archive\r\nIdempotency-Key: s\r\nMulberry-Timeout: 500\r\nContent-Length: 10\r\n\r\nabc",
+		"GET /patterns HTTP/1.1\r\nHost: archive\r\nMulberry-Timeout: 500\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", entry.front.Addr())
+		is.NoErr(err)
+		defer c.Close()
+		io.WriteString(c, text)
+	}
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(entry.front.InFlight(), 4)
+	time.Sleep(1900 * time.Millisecond) // deadline, grace and a margin
+	is.Equal(entry.front.InFlight(), 0)
+	is.Equal(beside.admitter.Load().InFlight, 0)
+}
+
 // Guards against a caller's trailing data or headers of one connection that
 // reach the upstream.
 func TestHopHeadersStayHere(t *testing.T) {
--- a/cmd/mulberrynode/run.go
+++ b/cmd/mulberrynode/run.go
@@ -35,7 +35,6 @@
 		return err
 	}
 	l := events.New(logs, cfg.Log.Level, "mulberrynode", cfg.Node.Name)
-	events.Redirect(l)
 	// go-zero takes the signals over when it is loaded and would close the
 	// listeners one second after the first one.
 	signal.Reset(syscall.SIGTERM, syscall.SIGINT)
@@ -53,6 +52,7 @@
 	if err != nil {
 		return err
 	}
+	events.Redirect(l) // go-zero has set up its own log meanwhile
 	return n.run(ctx, signals)
 }
 
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -58,7 +58,7 @@
 }
 
 // read validates h and returns the request to dispatch.
-func (f *Front) read(h *http.Request, cfg *overlay.Config, now time.Time) (*mulberrylink.Request, *refusal) {
+func (f *Front) read(w http.ResponseWriter, h *http.Request, cfg *overlay.Config, now time.Time) (*mulberrylink.Request, *refusal) {
 	if f.cfg.MaxHeaderBytes > 0 && headerBytes(h) > f.cfg.MaxHeaderBytes {
 		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, mulberrylink.ReasonTooLarge)
 	}
@@ -86,12 +86,28 @@
 	if bad := f.readLimits(h, svc, r, now); bad != nil {
 		return nil, bad
 	}
+	boundStalls(w, h, r.Deadline)
 	if bad := f.readBody(h, r); bad != nil {
 		return nil, bad
 	}
 	return r, nil
 }
 
+// stallGrace is the time after a request's deadline in which its answer can
+// still be written.
+const stallGrace = time.Second
+
+// boundStalls makes a caller that neither sends nor reads hold its connection
+// no longer than its request can last. Otherwise it could hold up a planned
+// stop for ever.
+func boundStalls(w http.ResponseWriter, h *http.Request, deadline time.Time) {
+	c := http.NewResponseController(w)
+	_ = c.SetWriteDeadline(deadline.Add(stallGrace))
+	if h.Body != nil && h.Body != http.NoBody {
+		_ = c.SetReadDeadline(deadline)
+	}
+}
+
 // headerBytes returns the size of the request line and the headers.
 func headerBytes(h *http.Request) int {
 	n := len(h.Method) + len(h.RequestURI)
--- a/transport/front/serve.go
+++ b/transport/front/serve.go
@@ -32,6 +32,8 @@
 	f.enter()
 	defer f.leave()
 	start := time.Now()
+	// A kept connection still has the deadline of the request before.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	ev := Event{Service: serviceName(h.Host), Outcome: mulberrylink.NotRun}
 	defer func() {
 		if f.cfg.Done != nil {
@@ -49,7 +51,7 @@
 		ev.Status = f.report(w, mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: ev.Reason})
 		return
 	}
-	r, bad := f.read(h, cfg, start)
+	r, bad := f.read(w, h, cfg, start)
 	if bad != nil {
 		ev.Reason, ev.Status = bad.reason, bad.status
 		writeOwn(w, bad.status, mulberrylink.NotRun, bad.reason)
@@ -110,6 +112,9 @@
 // report writes the status that belongs to a result without an answer.
 func (f *Front) report(w http.ResponseWriter, res mulberrylink.Result) int {
 	status := statusOf(res)
+	if res.Reason == mulberrylink.ReasonLeaving {
+		w.Header().Set("Connection", "close") // the next request goes elsewhere
+	}
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryAfter)
 	}
