--- /dev/null
+++ b/cmd/mulberrynode/bench_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// BenchmarkPath compares the direct path to an upstream with the path through
+// the node beside it and through two nodes, in turn, one request at a time.
+func BenchmarkPath(b *testing.B) {
+	g := newFakeGroup()
+	entry := startNode(b, g, "a", "d1")
+	beside := startNode(b, g, "b", "d1")
+	up := announceUpstream(b, beside, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	paths := []struct{ name, addr string }{
+		{"direct", up.Listener.Addr().String()},
+		{"one", beside.front.Addr()},
+		{"two", entry.front.Addr()},
+	}
+	took := make([]*hdrhistogram.Histogram, len(paths))
+	for i := range took {
+		took[i] = hdrhistogram.New(minMicros, maxMicros, digits)
+	}
+	for b.Loop() {
+		for i, p := range paths {
+			req := httptest.NewRequest("GET", "http://"+p.addr+"/patterns", nil)
+			req.RequestURI, req.Host = "", "archive"
+			start := time.Now()
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				b.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				b.Fatal(resp.Status)
+			}
+			took[i].RecordValue(time.Since(start).Microseconds())
+		}
+	}
+	for i, p := range paths {
+		b.ReportMetric(float64(took[i].ValueAtQuantile(50)), p.name+"-p50-us")
+		b.ReportMetric(float64(took[i].ValueAtQuantile(99)), p.name+"-p99-us")
+	}
+}
--- a/cmd/mulberrynode/front_test.go
+++ b/cmd/mulberrynode/front_test.go
@@ -76,7 +76,11 @@
 			is.Equal(resp.Header.Get("Mulberry-Reason"), c.reason.String())
 		})
 	}
-	is.New(t).Equal(runs.Load(), int64(0))
+	is := is.New(t)
+	status, h, _ := call(t, n, "GET", "/patterns", "", "Mulberry-Timeout", "0")
+	is.Equal(status, http.StatusServiceUnavailable) // no time is left
+	is.Equal(h.Get("Mulberry-Reason"), "deadline")
+	is.Equal(runs.Load(), int64(0))
 }
 
 // Guards against a cut answer that ends as if it were complete, on the node
--- a/cmd/mulberrynode/node_test.go
+++ b/cmd/mulberrynode/node_test.go
@@ -115,12 +115,12 @@
 }
 
 // startNode runs a node and gives it a configuration.
-func startNode(t *testing.T, g *fakeGroup, name, domain string) *node {
+func startNode(t testing.TB, g *fakeGroup, name, domain string) *node {
 	t.Helper()
 	return startWith(t, g, testSettings(name, domain), nil)
 }
 
-func startWith(t *testing.T, g *fakeGroup, cfg *nodeSettings, change func(*parts)) *node {
+func startWith(t testing.TB, g *fakeGroup, cfg *nodeSettings, change func(*parts)) *node {
 	t.Helper()
 	lis, err := net.Listen("tcp", cfg.Listen.RPC)
 	if err != nil {
@@ -157,7 +157,7 @@
 }
 
 // announceUpstream starts a server and announces it to n.
-func announceUpstream(t *testing.T, n *node, h http.HandlerFunc) *httptest.Server {
+func announceUpstream(t testing.TB, n *node, h http.HandlerFunc) *httptest.Server {
 	t.Helper()
 	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
--- a/cmd/mulberrynode/run.go
+++ b/cmd/mulberrynode/run.go
@@ -22,9 +22,10 @@
 	// memoryLimit makes collections more frequent again before the node
 	// reaches the 256 MB that it may use.
 	memoryLimit = 192 << 20
-	// leaveTime is how long a leaving node keeps its listeners open after its
-	// last request, so that the group learns of it before connections fail.
-	leaveTime = 500 * time.Millisecond
+	// leaveTime is how long a leaving node still refuses requests in so many
+	// words. Entry nodes choose it until they have heard that it leaves; a
+	// request that met a closed connection instead would end as unknown.
+	leaveTime = 3 * time.Second
 	// drainInterval is how often a leaving node looks for open exchanges.
 	drainInterval = 20 * time.Millisecond
 )
@@ -81,10 +82,13 @@
 func (n *node) leave(ctx context.Context) error {
 	n.standing.leaving.Store(true)
 	n.parts.group.Update(func(self *mulberrylink.Node) { self.State = mulberrylink.NodeLeaving })
-	announced := time.Now()
+	stay := time.Now()
+	if len(n.parts.group.All()) > 1 {
+		stay = stay.Add(leaveTime)
+	}
 	for {
 		n.front.Drain(ctx)
-		if n.server.Pending() == 0 && n.front.InFlight() == 0 && time.Since(announced) >= leaveTime {
+		if n.server.Pending() == 0 && n.front.InFlight() == 0 && !time.Now().Before(stay) {
 			break
 		}
 		time.Sleep(drainInterval)
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -154,8 +154,8 @@
 	if !ok {
 		return refuse(http.StatusBadRequest, mulberrylink.ReasonBadRequest)
 	}
-	if left > 0 {
-		timeout = time.Duration(left) * time.Millisecond
+	if h.Header.Get(headerTimeout) != "" {
+		timeout = time.Duration(left) * time.Millisecond // 0 when no time is left
 	}
 	r.Deadline = now.Add(timeout)
 	if r.Tries, ok = number(h.Header, headerTries, maxTries); !ok {
