--- a/cmd/mulberrynode/front_test.go
+++ b/cmd/mulberrynode/front_test.go
@@ -165,6 +165,34 @@
 	}
 }
 
+// Guards against a deadline that is reported as anything but a timeout, or that
+// leaves the request running at the upstream.
+func TestDeadlineIsAGatewayTimeout(t *testing.T) {
+	is := is.New(t)
+	g := newFakeGroup()
+	entry := startNode(t, g, "a", "d1")
+	beside := startNode(t, g, "b", "d1")
+	canceled := make(chan struct{}, 2)
+	announceUpstream(t, beside, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			canceled <- struct{}{}
+		case <-time.After(5 * time.Second):
+		}
+	})
+	for _, n := range []*node{entry, beside} {
+		status, h, _ := call(t, n, "POST", "/filings", "", "Mulberry-Timeout", "300")
+		is.Equal(status, http.StatusGatewayTimeout)
+		is.Equal(h.Get("Mulberry-Outcome"), "unknown")
+		is.Equal(h.Get("Mulberry-Reason"), "deadline")
+		select {
+		case <-canceled:
+		case <-time.After(time.Second):
+			t.Fatal("upstream still works")
+		}
+	}
+}
+
 // Guards against callers that stop sending or reading and hold their request,
 // and with it a planned stop, beyond its deadline.
 func TestStalledCallersAreLetGo(t *testing.T) {
--- a/protocol/forward/message_test.go
+++ b/protocol/forward/message_test.go
@@ -85,7 +85,8 @@
 // Guards against a reply that passes its check without a usable answer.
 func FuzzResolveReply(f *testing.F) {
 	seeds(f, resolveReply{State: stateAnswered, Answer: &answerHead{Status: 200, Length: 1}, Body: []byte("x")},
-		resolveReply{State: stateFailed, Outcome: mulberrylink.Unknown}, resolveReply{State: stateAnswered})
+		resolveReply{State: stateFailed, Outcome: mulberrylink.Unknown}, resolveReply{State: stateFailed},
+		resolveReply{State: stateAnswered})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var m resolveReply
 		if codec.Unmarshal(data, &m) != nil || m.check() != nil {
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -155,7 +155,10 @@
 		return refuse(http.StatusBadRequest, mulberrylink.ReasonBadRequest)
 	}
 	if h.Header.Get(headerTimeout) != "" {
-		timeout = time.Duration(left) * time.Millisecond // 0 when no time is left
+		timeout = time.Duration(left) * time.Millisecond
+	}
+	if timeout <= 0 {
+		return refuse(http.StatusServiceUnavailable, mulberrylink.ReasonDeadline)
 	}
 	r.Deadline = now.Add(timeout)
 	if r.Tries, ok = number(h.Header, headerTries, maxTries); !ok {
--- a/transport/front/serve.go
+++ b/transport/front/serve.go
@@ -83,6 +83,9 @@
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
 	res := f.cfg.Dispatch(ctx, r)
+	if res.Reason == mulberrylink.ReasonCanceled && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		res.Reason = mulberrylink.ReasonDeadline
+	}
 	ev.Outcome, ev.Reason = res.Outcome, res.Reason
 	if res.Outcome != mulberrylink.Answered {
 		ev.Status = f.unanswered(w, r, res)
@@ -115,9 +118,6 @@
 	if res.Reason == mulberrylink.ReasonLeaving {
 		w.Header().Set("Connection", "close") // the next request goes elsewhere
 	}
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", retryAfter)
-	}
 	writeOwn(w, status, res.Outcome, res.Reason)
 	return status
 }
@@ -138,6 +138,9 @@
 func writeOwn(w http.ResponseWriter, status int, outcome mulberrylink.Outcome, reason mulberrylink.Reason) {
 	text := "outcome=" + outcome.String() + " reason=" + reason.String() + "\n"
 	h := w.Header()
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", retryAfter)
+	}
 	h.Set(headerOutcome, outcome.String())
 	h.Set(headerReason, reason.String())
 	h.Set("Content-Type", "text/plain; charset=utf-8")
