--- /dev/null
+++ b/cmd/mulberrynode/entry.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/protocol/forward"
+)
+
+// forwarder runs a request on a node: on this one directly, on another one
+// over rpc.
+type forwarder struct {
+	self   string
+	local  *admitter
+	client *forward.Client
+}
+
+// Forward implements dispatch.Forwarder.
+func (f *forwarder) Forward(ctx context.Context, n mulberrylink.Node, r *mulberrylink.Request, attempt int, alone bool) mulberrylink.Result {
+	if n.Name != f.self {
+		return f.client.Forward(ctx, n, r, attempt, alone)
+	}
+	own := *r
+	if r.Replay != nil {
+		body, err := r.Replay()
+		if err != nil {
+			return mulberrylink.Result{
+				Outcome: mulberrylink.NotRun, Reason: mulberrylink.ReasonBadRequest, Node: n.Name,
+			}
+		}
+		own.Body = body
+	}
+	res := f.local.Run(ctx, &own, alone, func() {})
+	res.Node = n.Name
+	res.Load = f.local.Load()
+	return res
+}
