--- a/cmd/mulberrynode/front_test.go
+++ b/cmd/mulberrynode/front_test.go
@@ -70,12 +70,17 @@
 			is := is.New(t)
 			resp, err := rawCall(t, n, c.text, c.closing)
 			is.NoErr(err)
+			defer resp.Body.Close()
 			is.Equal(resp.StatusCode, c.status)
 			is.Equal(resp.Header.Get("Mulberry-Outcome"), "notrun")
 			is.Equal(resp.Header.Get("Mulberry-Reason"), c.reason.String())
 		})
 	}
-	is.New(t).Equal(runs.Load(), int64(0))
+	is := is.New(t)
+	status, h, _ := call(t, n, "GET", "/patterns", "", "Mulberry-Timeout", "0")
+	is.Equal(status, http.StatusServiceUnavailable) // no time is left
+	is.Equal(h.Get("Mulberry-Reason"), "deadline")
+	is.Equal(runs.Load(), int64(0))
 }
 
 // Guards against a cut answer that ends as if it were complete, on the node
@@ -98,6 +103,7 @@
 				is := is.New(t)
 				resp, err := rawCall(t, n, "GET /patterns"+query+" HTTP/1.1\r\nHost: archive\r\n\r\n", false)
 				is.NoErr(err)
+				defer resp.Body.Close()
 				is.Equal(resp.StatusCode, 200)
 				_, err = io.Copy(io.Discard, resp.Body)
 				is.True(err != nil)
@@ -159,6 +165,63 @@
 	}
 }
 
+// Guards against a deadline that is reported as anything but a timeout, or that
+// leaves the request running at the upstream.
+func TestDeadlineIsAGatewayTimeout(t *testing.T) {
+	is := is.New(t)
+	g := newFakeGroup()
+	entry := startNode(t, g, "a", "d1")
+	beside := startNode(t, g, "b", "d1")
+	canceled := make(chan struct{}, 2)
+	announceUpstream(t, beside, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			canceled <- struct{}{}
+		case <-time.After(5 * time.Second):
+		}
+	})
+	for _, n := range []*node{entry, beside} {
+		status, h, _ := call(t, n, "POST", "/filings", "", "Mulberry-Timeout", "300")
+		is.Equal(status, http.StatusGatewayTimeout)
+		is.Equal(h.Get("Mulberry-Outcome"), "unknown")
+		is.Equal(h.Get("Mulberry-Reason"), "deadline")
+		select {
+		case <-canceled:
+		case <-time.After(time.Second):
+			t.Fatal("upstream still works")
+		}
+	}
+}
+
+// Guards against callers that stop sending or reading and hold their request,
+// and with it a planned stop, beyond its deadline.
+func TestStalledCallersAreLetGo(t *testing.T) {
+	is := is.New(t)
+	g := newFakeGroup()
+	entry := startNode(t, g, "a", "d1")
+	beside := startNode(t, g, "b", "d1")
+	announceUpstream(t, beside, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.Copy(w, io.LimitReader(zeros{}, 64<<20))
+	})
+	for _, text := range []string{
+		"PUT /patterns HTTP/1.1\r\nHost: archive\r\nMulberry-Timeout: 500\r\nContent-Length: 1000000\r\n\r\nabc",
+		"PUT /patterns HTTP/1.1\r\nHost: archive\r\nMulberry-Timeout: 500\r\nContent-Length: 10\r\n\r\nabc",
+		"POST /filings HTTP/1.1\r\nHost: archive\r\nIdempotency-Key: s\r\nMulberry-Timeout: 500\r\nContent-Length: 10\r\n\r\nabc",
+		"GET /patterns HTTP/1.1\r\nHost: archive\r\nMulberry-Timeout: 500\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", entry.front.Addr())
+		is.NoErr(err)
+		defer c.Close()
+		io.WriteString(c, text)
+	}
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(entry.front.InFlight(), 4)
+	time.Sleep(1900 * time.Millisecond) // deadline, grace and a margin
+	is.Equal(entry.front.InFlight(), 0)
+	is.Equal(beside.admitter.Load().InFlight, 0)
+}
+
 // Guards against a caller's trailing data or headers of one connection that
 // reach the upstream.
 func TestHopHeadersStayHere(t *testing.T) {
--- a/cmd/mulberrynode/run.go
+++ b/cmd/mulberrynode/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -15,9 +16,16 @@
 )
 
 const (
-	// leaveTime is how long a leaving node keeps its listeners open after its
-	// last request, so that the group learns of it before connections fail.
-	leaveTime = 500 * time.Millisecond
+	// gcPercent makes collections rarer. In a prototype at 6,000 requests a
+	// second it lowered the p99 latency of two relays from 40 to 11 ms.
+	gcPercent = 400
+	// memoryLimit makes collections more frequent again before the node
+	// reaches the 256 MB that it may use.
+	memoryLimit = 192 << 20
+	// leaveTime is how long a leaving node still refuses requests in so many
+	// words. Entry nodes choose it until they have heard that it leaves; a
+	// request that met a closed connection instead would end as unknown.
+	leaveTime = 3 * time.Second
 	// drainInterval is how often a leaving node looks for open exchanges.
 	drainInterval = 20 * time.Millisecond
 )
@@ -28,7 +36,6 @@
 		return err
 	}
 	l := events.New(logs, cfg.Log.Level, "mulberrynode", cfg.Node.Name)
-	events.Redirect(l)
 	// go-zero takes the signals over when it is loaded and would close the
 	// listeners one second after the first one.
 	signal.Reset(syscall.SIGTERM, syscall.SIGINT)
@@ -38,12 +45,15 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for rpc")
 	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n, err := connect(ctx, cfg, lis, l)
 	if err != nil {
 		return err
 	}
+	events.Redirect(l) // go-zero has set up its own log meanwhile
 	return n.run(ctx, signals)
 }
 
@@ -72,10 +82,13 @@
 func (n *node) leave(ctx context.Context) error {
 	n.standing.leaving.Store(true)
 	n.parts.group.Update(func(self *mulberrylink.Node) { self.State = mulberrylink.NodeLeaving })
-	announced := time.Now()
+	stay := time.Now()
+	if len(n.parts.group.All()) > 1 {
+		stay = stay.Add(leaveTime)
+	}
 	for {
 		n.front.Drain(ctx)
-		if n.server.Pending() == 0 && n.front.InFlight() == 0 && time.Since(announced) >= leaveTime {
+		if n.server.Pending() == 0 && n.front.InFlight() == 0 && !time.Now().Before(stay) {
 			break
 		}
 		time.Sleep(drainInterval)
--- a/protocol/forward/forward_test.go
+++ b/protocol/forward/forward_test.go
@@ -387,26 +387,82 @@
 }
 
 // Guards against bodies that pile up in memory when the reader is slower than
-// the writer, in both directions.
+// the writer, in both directions, or that are kept once they are too long.
 func TestLargeBodiesNeedBoundedMemory(t *testing.T) {
 	const size = 64 << 20
 	is := is.New(t)
+	bounded := func() {
+		t.Helper()
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		is.True(m.HeapAlloc < size/2)
+	}
 	var up int64
 	g := newRig(t, func(_ context.Context, r *mulberrylink.Request, admitted func()) mulberrylink.Result {
 		admitted()
+		time.Sleep(300 * time.Millisecond)
+		bounded() // the upstream does not read yet
 		up, _ = io.Copy(io.Discard, r.Body)
 		return answer(io.LimitReader(&pattern{}, size), size)
 	})
 	res := g.client.Forward(context.Background(), g.node, request(io.LimitReader(&pattern{}, size), size, time.Minute), 0, false)
 	is.Equal(res.Outcome, mulberrylink.Answered)
 	is.Equal(up, int64(size))
-	time.Sleep(300 * time.Millisecond) // nobody reads: the sender must stop
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	is.True(m.HeapAlloc < 32<<20) // half of one body
-	n, err := io.Copy(io.Discard, res.Answer.Body)
+	time.Sleep(300 * time.Millisecond)
+	bounded() // the caller does not read yet
+	n, err := io.CopyN(io.Discard, res.Answer.Body, size*3/4)
+	is.NoErr(err)
+	bounded() // nothing that was read is kept
+	last, err := io.Copy(io.Discard, res.Answer.Body)
 	is.NoErr(err)
-	is.Equal(n, int64(size))
+	is.Equal(n+last, int64(size))
 	is.NoErr(res.Answer.Body.Close())
 }
+
+// Guards against an upload whose connection goes silent and that holds its
+// place on the upstream, or is reported as not run.
+func TestSilentUploadIsCutAndUnknown(t *testing.T) {
+	is := is.New(t)
+	var g *rig
+	cut := make(chan error, 1)
+	g = newRig(t, func(_ context.Context, r *mulberrylink.Request, admitted func()) mulberrylink.Result {
+		admitted()
+		_, err := io.Copy(io.Discard, r.Body)
+		cut <- err
+		return mulberrylink.Result{Outcome: mulberrylink.Unknown, Reason: mulberrylink.ReasonLost}
+	})
+	sent := 0
+	body := readFunc(func(p []byte) (int, error) {
+		if sent++; sent == 20 {
+			g.relay.cut()
+		}
+		time.Sleep(5 * time.Millisecond)
+		return len(p), nil
+	})
+	start := time.Now()
+	res, _, _ := g.forward(t, request(body, -1, 20*time.Second))
+	is.Equal(res.Outcome, mulberrylink.Unknown)
+	is.True(time.Since(start) < 2*time.Second)
+	is.True((<-cut) != nil)
+}
+
+// Guards against a place on the upstream that is held for an entry node which
+// has died without a word.
+func TestDeadEntryNodeFreesTheUpstream(t *testing.T) {
+	is := is.New(t)
+	var g *rig
+	canceled := make(chan time.Duration, 1)
+	g = newRig(t, func(ctx context.Context, _ *mulberrylink.Request, admitted func()) mulberrylink.Result {
+		admitted()
+		g.relay.cut()
+		g.relay.lis.Close() // nor can it resolve
+		start := time.Now()
+		<-ctx.Done()
+		canceled <- time.Since(start)
+		return mulberrylink.Result{Outcome: mulberrylink.Unknown, Reason: mulberrylink.ReasonCanceled}
+	})
+	res, _, _ := g.forward(t, request(nil, 0, 20*time.Second))
+	is.Equal(res.Outcome, mulberrylink.Unknown)
+	is.True((<-canceled) < 5*time.Second) // two silences of 2 s and a margin
+}
--- a/transport/front/serve.go
+++ b/transport/front/serve.go
@@ -32,6 +32,8 @@
 	f.enter()
 	defer f.leave()
 	start := time.Now()
+	// A kept connection still has the deadline of the request before.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	ev := Event{Service: serviceName(h.Host), Outcome: mulberrylink.NotRun}
 	defer func() {
 		if f.cfg.Done != nil {
@@ -49,7 +51,7 @@
 		ev.Status = f.report(w, mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: ev.Reason})
 		return
 	}
-	r, bad := f.read(h, cfg, start)
+	r, bad := f.read(w, h, cfg, start)
 	if bad != nil {
 		ev.Reason, ev.Status = bad.reason, bad.status
 		writeOwn(w, bad.status, mulberrylink.NotRun, bad.reason)
@@ -81,6 +83,9 @@
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
 	res := f.cfg.Dispatch(ctx, r)
+	if res.Reason == mulberrylink.ReasonCanceled && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		res.Reason = mulberrylink.ReasonDeadline
+	}
 	ev.Outcome, ev.Reason = res.Outcome, res.Reason
 	if res.Outcome != mulberrylink.Answered {
 		ev.Status = f.unanswered(w, r, res)
@@ -110,8 +115,8 @@
 // report writes the status that belongs to a result without an answer.
 func (f *Front) report(w http.ResponseWriter, res mulberrylink.Result) int {
 	status := statusOf(res)
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", retryAfter)
+	if res.Reason == mulberrylink.ReasonLeaving {
+		w.Header().Set("Connection", "close") // the next request goes elsewhere
 	}
 	writeOwn(w, status, res.Outcome, res.Reason)
 	return status
@@ -133,6 +138,9 @@
 func writeOwn(w http.ResponseWriter, status int, outcome mulberrylink.Outcome, reason mulberrylink.Reason) {
 	text := "outcome=" + outcome.String() + " reason=" + reason.String() + "\n"
 	h := w.Header()
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", retryAfter)
+	}
 	h.Set(headerOutcome, outcome.String())
 	h.Set(headerReason, reason.String())
 	h.Set("Content-Type", "text/plain; charset=utf-8")
