--- a/protocol/controlplane/controlplane_test.go
+++ b/protocol/controlplane/controlplane_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -39,27 +38,13 @@
 func (f *fakeLog) Leader() (uint64, string, bool) { return 1, f.leader, f.self }
 
 // serve starts a control host on loopback and returns its address.
-func serve(t *testing.T, log func(addr string, m *control.Machine) controlplane.Log) string {
+func serve(t *testing.T, log func(m *control.Machine) controlplane.Log) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := lis.Addr().String()
 	m := control.NewMachine()
-	s := controlplane.NewServer(controlplane.ServerConfig{Name: "c1", Log: log(addr, m), Machine: m, Now: time.Now})
-	srv := rpc.NewServer(nil)
-	for method, h := range s.Methods() {
-		srv.Handle(method, h)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- srv.Serve(ctx, lis) }()
-	t.Cleanup(func() { cancel(); <-done })
-	return addr
+	return serveMethods(t, controlplane.NewServer(controlplane.ServerConfig{Name: "c1", Log: log(m), Machine: m, Now: time.Now}))
 }
 
-func local(addr string, m *control.Machine) controlplane.Log { return controlplane.NewLocal(addr, m) }
+func local(m *control.Machine) controlplane.Log { return controlplane.NewLocal("", m) }
 
 func client(t *testing.T, hosts ...string) *controlplane.Client {
 	t.Helper()
@@ -151,8 +136,8 @@
 func TestClientFindsTheLeader(t *testing.T) {
 	is := is.New(t)
 	leader := serve(t, local)
-	follower := serve(t, func(addr string, m *control.Machine) controlplane.Log {
-		return &fakeLog{Local: controlplane.NewLocal(addr, m), leader: leader, propose: func([]byte) ([]byte, controlplane.Status) {
+	follower := serve(t, func(m *control.Machine) controlplane.Log {
+		return &fakeLog{Local: controlplane.NewLocal("", m), leader: leader, propose: func([]byte) ([]byte, controlplane.Status) {
 			return nil, controlplane.StatusNotLeader
 		}}
 	})
@@ -169,8 +154,8 @@
 func TestIndeterminateClaimStaysIndeterminate(t *testing.T) {
 	is := is.New(t)
 	tries := 0
-	addr := serve(t, func(addr string, m *control.Machine) controlplane.Log {
-		return &fakeLog{Local: controlplane.NewLocal(addr, m), self: true, propose: func([]byte) ([]byte, controlplane.Status) {
+	addr := serve(t, func(m *control.Machine) controlplane.Log {
+		return &fakeLog{Local: controlplane.NewLocal("", m), self: true, propose: func([]byte) ([]byte, controlplane.Status) {
 			if tries++; tries == 1 {
 				return nil, controlplane.StatusIndeterminate
 			}
