--- a/cmd/mulberrycontrol/run.go
+++ b/cmd/mulberrycontrol/run.go
@@ -47,7 +47,10 @@
 	h := &host{cfg: cfg, log: l}
 	reg := metrics.NewRegistry()
 	machine := control.NewMachine()
-	st := openStore(cfg, machine, l)
+	st, err := openStore(cfg, machine, l)
+	if err != nil {
+		return nil, err
+	}
 	h.store = st
 	h.server = controlplane.NewServer(controlplane.ServerConfig{
 		Name:    cfg.Control.Name,
@@ -64,7 +67,6 @@
 		h.rpc.Handle(method, f)
 	}
 	st.register(h.rpc)
-	var err error
 	h.admin, err = newAdmin(cfg.Listen.Admin, reg, h.ready)
 	events.Redirect(l) // after go-zero has set up its own log
 	return h, err
--- a/cmd/mulberrycontrol/store.go
+++ b/cmd/mulberrycontrol/store.go
@@ -2,31 +2,104 @@
 
 import (
 	"context"
-	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
 	"github.com/mulberrylink/mulberrylink/coordination/control"
+	"github.com/mulberrylink/mulberrylink/coordination/quorum"
 	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+	"github.com/mulberrylink/mulberrylink/state/storage"
 	"github.com/mulberrylink/mulberrylink/transport/rpc"
 )
 
-// store is the replicated log of this host.
+// linkDialTimeout is below the shortest election timeout.
+const linkDialTimeout = 300 * time.Millisecond
+
+// store is the replicated log of this host with its links to the others.
 type store struct {
-	log controlplane.Log
+	log   controlplane.Log
+	host  *quorum.Host
+	links *controlplane.Links
+	out   *log.Logger
+}
+
+func openStore(cfg controlSettings, machine *control.Machine, l *log.Logger) (*store, error) {
+	pool := rpc.NewPool(rpc.PoolConfig{DialTimeout: linkDialTimeout})
+	s := &store{links: controlplane.NewLinks(pool), out: l}
+	qc := quorumConfig(cfg)
+	qc.Machine, qc.Sender = machine, s.links
+	h, err := quorum.Open(qc)
+	if err != nil {
+		s.links.Close()
+		return nil, errors.Wrapf(err, "open data directory %s", cfg.Control.Data)
+	}
+	s.host = h
+	s.log = quorumLog{host: h}
+	return s, nil
 }
 
-func openStore(cfg controlSettings, machine *control.Machine, l *log.Logger) *store {
-	l.Warn().Msg("the control log is kept in memory only")
-	return &store{log: controlplane.NewLocal(cfg.self().addr, machine)}
+func quorumConfig(cfg controlSettings) quorum.Config {
+	self := cfg.self()
+	return quorum.Config{Dir: cfg.Control.Data, ID: self.id, Addr: self.addr}
 }
 
-func (s *store) register(*rpc.Server) {}
+func (s *store) register(srv *rpc.Server) {
+	method, h := controlplane.StepMethod(s.host.Receive)
+	srv.Handle(method, h)
+}
 
-func (s *store) stop(context.Context) {}
+// stop hands leadership over and closes the log. The links end last, because
+// the transfer uses them.
+func (s *store) stop(ctx context.Context) {
+	if err := s.host.Stop(ctx); err != nil {
+		s.out.Warn().Err(err).Msg("control log did not stop cleanly")
+	}
+	s.links.Close()
+}
 
-// format makes the data directory. The log in memory keeps nothing there yet.
+// format writes the identity of a first member to its data directory.
 func format(cfg controlSettings) error {
-	return errors.Wrap(os.MkdirAll(cfg.Control.Data, 0o755), "make data directory")
+	var members []quorum.Member
+	for _, m := range cfg.members {
+		members = append(members, quorum.Member{ID: m.id, Addr: m.addr})
+	}
+	err := quorum.Format(quorumConfig(cfg), members)
+	if errors.Is(err, storage.ErrExists) {
+		return errors.Newf("data directory %s already holds a member; it was not changed", cfg.Control.Data)
+	}
+	return errors.Wrapf(err, "format data directory %s", cfg.Control.Data)
+}
+
+// quorumLog makes a quorum.Host the log of a server.
+type quorumLog struct{ host *quorum.Host }
+
+func (q quorumLog) Propose(ctx context.Context, data []byte) ([]byte, controlplane.Status) {
+	res, status := q.host.Propose(ctx, data)
+	switch status {
+	case quorum.Committed:
+		return res, controlplane.StatusCommitted
+	case quorum.NotLeader:
+		return nil, controlplane.StatusNotLeader
+	case quorum.Unavailable:
+		return nil, controlplane.StatusUnavailable
+	default:
+		return nil, controlplane.StatusIndeterminate
+	}
+}
+
+func (q quorumLog) Confirm(ctx context.Context) bool { return q.host.Confirm(ctx) }
+
+func (q quorumLog) Leader() (id uint64, addr string, self bool) { return q.host.Leader() }
+
+func (q quorumLog) Members() []controlplane.Member {
+	st := q.host.Status()
+	var all []controlplane.Member
+	for _, m := range st.Members {
+		all = append(all, controlplane.Member{
+			ID: m.ID, Addr: m.Addr, Learner: m.Learner, Leader: m.ID == st.Leader, Self: m.ID == st.ID,
+		})
+	}
+	return all
 }
--- a/cmd/mulberryctl/show.go
+++ b/cmd/mulberryctl/show.go
@@ -106,7 +106,7 @@
 					return unavailable(cmd, err)
 				}
 				for _, m := range members {
-					line(cmd, "member", m.ID, "addr", m.Addr, "leader", m.Leader, "self", m.Self)
+					line(cmd, "member", m.ID, "addr", m.Addr, "leader", m.Leader, "learner", m.Learner, "self", m.Self)
 				}
 				return nil
 			})
--- a/protocol/controlplane/log.go
+++ b/protocol/controlplane/log.go
@@ -38,6 +38,8 @@
 	Addr string `cbor:"a"`
 	// Leader is true for the leader that the answering host knows.
 	Leader bool `cbor:"l,omitempty"`
+	// Learner is true for a member without a vote.
+	Learner bool `cbor:"n,omitempty"`
 	// Self is true for the answering host.
 	Self bool `cbor:"s,omitempty"`
 }
