--- a/coordination/selection/model_test.go
+++ b/coordination/selection/model_test.go
@@ -187,6 +187,13 @@
 				}
 			}
 		}
+		for seed := uint64(2); seed <= 4; seed++ {
+			for _, load := range []float64{0.7, 0.9} {
+				runModel(t, selection.Adaptive, "none", load, 0, seed)
+				runModel(t, selection.TwoChoices, "none", load, 0, seed)
+			}
+			runModel(t, selection.Adaptive, "slow", 0.7, 0, seed)
+		}
 		for _, choices := range []int{1, 2, 3, 5} {
 			runModel(t, selection.Adaptive, "none", 0.9, choices, 1)
 			runModel(t, selection.Adaptive, "slow", 0.7, choices, 1)
