--- a/cmd/mulberrybench/demo/domain.go
+++ b/cmd/mulberrybench/demo/domain.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,9 @@
 	for _, u := range m.d.OfKind(deployment.KindUpstream) {
 		inside[u.Name] = u.Domain == out
 	}
+	if !worked(lines, inside, m.outAt) {
+		m.fault(errors.Newf("failure domain %s got no work before it was taken out, so the check shows nothing", out))
+	}
 	last, back := stillness(lines, inside, m.outAt, m.backAt)
 	m.print("step=domain domain=%s last_execution_after_out=%s first_execution_after_return=%s",
 		out, last.Round(time.Millisecond), back.Round(time.Millisecond))
@@ -31,6 +35,13 @@
 	}
 }
 
+// worked reports whether an execution inside started before out.
+func worked(lines []journal.Entry, inside map[string]bool, out time.Time) bool {
+	return slices.ContainsFunc(lines, func(e journal.Entry) bool {
+		return inside[e.Upstream] && e.Time.Before(out)
+	})
+}
+
 // stillness returns how long after out the last execution inside started, and
 // how long after back the first one did; -1 when there was none.
 func stillness(lines []journal.Entry, inside map[string]bool, out, back time.Time) (last, first time.Duration) {
--- a/cmd/mulberrybench/demo/domain_test.go
+++ b/cmd/mulberrybench/demo/domain_test.go
@@ -19,10 +19,13 @@
 		return journal.Entry{Upstream: name, Time: out.Add(after)}
 	}
 	inside := map[string]bool{"a": true, "b": false}
-	last, first := stillness([]journal.Entry{
+	lines := []journal.Entry{
 		at("a", -time.Second), at("a", 2*time.Second), at("b", 5*time.Second), at("b", 8100*time.Millisecond),
 		at("a", 9*time.Second), at("a", 8500*time.Millisecond),
-	}, inside, out, back)
+	}
+	last, first := stillness(lines, inside, out, back)
+	is.True(worked(lines, inside, out))
+	is.True(!worked(lines[1:], inside, out))
 	is.Equal(last, 2*time.Second)
 	is.Equal(first, 500*time.Millisecond)
 	_, first = stillness(nil, inside, out, back)
