Detect a signal to a process with a reused id in the test of down

The test asked whether the other process still existed, which is also true of one that was ended but not waited for, so it could not fail. It now checks how the process ended, and fails when the command line is not compared.

--- a/cmd/mulberrybench/deployment/deployment_test.go
+++ b/cmd/mulberrybench/deployment/deployment_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/upstream"
@@ -32,6 +33,12 @@
 	}
 }
 
+// signaled reports whether a process was ended by a signal.
+func signaled(err error) bool {
+	var exit *exec.ExitError
+	return errors.As(err, &exit) && exit.Sys().(syscall.WaitStatus).Signaled()
+}
+
 // Guards against ending a process that got the id of one of ours later.
 func TestDownSparesReusedPID(t *testing.T) {
 	is := is.New(t)
@@ -41,19 +48,23 @@
 	// A shell that waits in a builtin keeps its own command line.
 	ours := exec.Command("sh", "-c", "read line", path)
 	other := exec.Command("sh", "-c", "read line", path+".other")
+	_, err = ours.StdinPipe()
+	is.NoErr(err)
+	otherIn, err := other.StdinPipe()
+	is.NoErr(err)
 	for _, c := range []*exec.Cmd{ours, other} {
-		in, err := c.StdinPipe()
-		is.NoErr(err)
 		is.NoErr(c.Start())
-		t.Cleanup(func() { in.Close(); c.Wait() })
+		t.Cleanup(func() { c.Process.Kill(); c.Wait() })
 	}
 	is.NoErr(writeProcesses(run, []Process{
 		{Name: "node-a-1", Kind: KindNode, Domain: "d1", PID: ours.Process.Pid, Addr: "x"},
 		{Name: "node-a-2", Kind: KindNode, Domain: "d1", PID: other.Process.Pid, Addr: "x"},
 	}))
 	is.NoErr(Down(t.Context(), run))
-	is.True(ours.Wait() != nil)                       // ended by a signal
-	is.NoErr(other.Process.Signal(syscall.Signal(0))) // still runs
+	is.True(signaled(ours.Wait()))
+	// Read ends with status 1 at the end of its input, unless a signal was first.
+	is.NoErr(otherIn.Close())
+	is.True(!signaled(other.Wait()))
 	_, err = os.Stat(filepath.Join(run, "processes"))
 	is.True(os.IsNotExist(err))
 }
