--- a/cmd/mulberrybench/commands.go
+++ b/cmd/mulberrybench/commands.go
@@ -25,6 +25,7 @@
 		downCommand(),
 		demoCommand(),
 		compareCommand(),
+		slopeCommand(),
 		loadCommand(),
 		upstreamCommand(),
 		settingsCommand(),
--- /dev/null
+++ b/cmd/mulberrybench/slope/control.go
@@ -0,0 +1,313 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/coordination/control"
+	"github.com/mulberrylink/mulberrylink/coordination/quorum"
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+	"github.com/mulberrylink/mulberrylink/state/overlay"
+	"github.com/mulberrylink/mulberrylink/transport/rpc"
+)
+
+// controlHost is one control host with an in-memory log.
+type controlHost struct {
+	addr    string
+	machine *control.Machine
+	cancel  context.CancelFunc
+}
+
+func startControl(ctx context.Context) (*controlHost, error) {
+	var lc net.ListenConfig
+	lis, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for rpc")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	h := &controlHost{addr: lis.Addr().String(), machine: control.NewMachine(), cancel: cancel}
+	server := controlplane.NewServer(controlplane.ServerConfig{
+		Name: "control-1", Domain: "d1", Log: controlplane.NewLocal(h.addr, h.machine),
+		Machine: h.machine, Now: time.Now, Observe: func(string, string) {},
+	})
+	srv := rpc.NewServer(nil)
+	for method, f := range server.Methods() {
+		srv.Handle(method, f)
+	}
+	go func() { _ = srv.Serve(ctx, lis) }()
+	return h, nil
+}
+
+func newClient(addr string) *controlplane.Client {
+	pool := rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second, IdlePerAddr: 2})
+	return controlplane.NewClient(pool, []string{addr})
+}
+
+// sourceOf writes a base file with n services and ten failure domains.
+func sourceOf(n, revision int) overlay.File {
+	var b strings.Builder
+	for i := range 10 {
+		fmt.Fprintf(&b, "[domain domain-%d]\nregion = region-%d\n", i, i%3)
+	}
+	for i := range n {
+		fmt.Fprintf(&b, "[service service-%d]\ntimeout = %dms\n", i, 2000+revision)
+		for _, r := range []string{"GET /grades", "POST /filings", "GET /stock"} {
+			fmt.Fprintf(&b, "[route service-%d %s]\n", i, r)
+		}
+	}
+	return overlay.File{Name: "base.ini", Data: []byte(b.String())}
+}
+
+func apply(ctx context.Context, c *controlplane.Client, services, revision int) error {
+	rep := c.Apply(ctx, controlplane.Change{
+		ID: fmt.Sprintf("slope-%d", revision), Version: uint64(revision), Base: sourceOf(services, revision),
+	})
+	if rep.State != controlplane.ApplyAccepted {
+		return errors.Newf("apply: %s", rep.State)
+	}
+	return nil
+}
+
+// watchPart measures one control host with n nodes watching it. Both ends run
+// in this process, so the processor time covers the node and the host.
+func watchPart() part {
+	return part{
+		name: "watch", x: "nodes", target: targetNodes, sizes: []int{50, 100, 200, 400},
+		order: []string{"cpu_percent", "heap_bytes", "all_ms", "cpu_ms_per_change"},
+		run:   measureWatch,
+	}
+}
+
+// watchChanges is the number of changes over which the delay is averaged.
+const watchChanges = 10
+
+func measureWatch(ctx context.Context, o Options, n int) (map[string]float64, error) {
+	before := heap()
+	h, err := startControl(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer h.cancel()
+	client := newClient(h.addr)
+	if err := apply(ctx, client, targetServices, 0); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var received atomic.Int64
+	for range n {
+		go func() {
+			_ = newClient(h.addr).Watch(ctx, 0, func(uint64, []byte) { received.Add(1) })
+		}()
+	}
+	got := func(count int) func() bool { return func() bool { return received.Load() >= int64(count) } }
+	if err := until(ctx, 30*time.Second, got(n)); err != nil {
+		return nil, err
+	}
+	u := now()
+	if err := wait(ctx, o.For); err != nil {
+		return nil, err
+	}
+	cpu, wall := u.since()
+	values := map[string]float64{
+		"cpu_percent": 100 * cpu.Seconds() / wall.Seconds() / float64(n),
+		"heap_bytes":  (heap() - before) / float64(n),
+	}
+	u = now()
+	begin := time.Now()
+	for i := range watchChanges {
+		if err := apply(ctx, client, targetServices, i+1); err != nil {
+			return nil, err
+		}
+		if err := until(ctx, 30*time.Second, got(n*(i+2))); err != nil {
+			return nil, err
+		}
+	}
+	cpu, _ = u.since()
+	values["all_ms"] = float64(time.Since(begin).Milliseconds()) / watchChanges
+	values["cpu_ms_per_change"] = cpu.Seconds() * 1000 / watchChanges / float64(n)
+	return values, nil
+}
+
+// configPart measures the size of the configuration that each node receives.
+func configPart() part {
+	return part{
+		name: "config", x: "services", target: targetServices, sizes: []int{2, 20, 100, 230},
+		order: []string{"wire_bytes", "decode_us", "merge_us"},
+		run: func(_ context.Context, _ Options, n int) (map[string]float64, error) {
+			src := sourceOf(n, 1)
+			begin := time.Now()
+			cfg, err := overlay.Merge(src, nil)
+			if err != nil {
+				return nil, err
+			}
+			merge := time.Since(begin)
+			raw := overlay.Encode(cfg)
+			begin = time.Now()
+			if _, err := overlay.Decode(raw); err != nil {
+				return nil, err
+			}
+			return map[string]float64{
+				"wire_bytes": float64(len(raw)),
+				"decode_us":  float64(time.Since(begin).Microseconds()),
+				"merge_us":   float64(merge.Microseconds()),
+			}, nil
+		},
+	}
+}
+
+// claimPart measures what held claims cost a control host.
+func claimPart() part {
+	return part{
+		name: "claims", x: "claims", target: targetClaims, sizes: []int{10_000, 50_000, 100_000, 200_000},
+		order: []string{"heap_bytes", "apply_us", "snapshot_bytes", "snapshot_ms"},
+		run: func(_ context.Context, _ Options, n int) (map[string]float64, error) {
+			before := heap()
+			m := control.NewMachine()
+			u := now()
+			for i := range n {
+				m.Apply(uint64(i+1), control.Encode(claimCommand(i)))
+			}
+			cpu, _ := u.since()
+			values := map[string]float64{
+				"apply_us":   float64(cpu.Microseconds()) / float64(n),
+				"heap_bytes": heap() - before,
+			}
+			begin := time.Now()
+			values["snapshot_bytes"] = float64(len(m.Snapshot()))
+			values["snapshot_ms"] = float64(time.Since(begin).Milliseconds())
+			return values, nil
+		},
+	}
+}
+
+func claimCommand(i int) control.Command {
+	return control.Command{
+		Now: int64(i + 1),
+		Claim: &control.ClaimCommand{
+			Service: "registry", Key: fmt.Sprintf("filing-2026-12-%010d", i), Print: uint64(i),
+			Holder: "node-registry-1", Request: fmt.Sprintf("%032x", i), Until: int64(i) + 86_400_000_000,
+		},
+	}
+}
+
+// commitPart measures claims that are made durable on three members with real
+// files, by the number of nodes that claim at the same time.
+func commitPart() part {
+	return part{
+		name: "commit", x: "callers", target: 1024, sizes: []int{1, 16, 64, 256},
+		order: []string{"per_second", "mean_ms", "cpu_us"},
+		run:   measureCommit,
+	}
+}
+
+// mesh delivers messages between members in this process.
+type mesh struct {
+	mu    sync.RWMutex
+	hosts map[uint64]*quorum.Host
+}
+
+func (m *mesh) Send(msg quorum.Message) {
+	m.mu.RLock()
+	h := m.hosts[msg.To]
+	m.mu.RUnlock()
+	if h != nil {
+		h.Receive(msg)
+	}
+}
+
+func startQuorum(dir string) (*mesh, func(), error) {
+	m := &mesh{hosts: make(map[uint64]*quorum.Host)}
+	var members []quorum.Member
+	for id := uint64(1); id <= 3; id++ {
+		members = append(members, quorum.Member{ID: id, Addr: fmt.Sprintf("member-%d", id)})
+	}
+	stop := func() {
+		for _, h := range m.hosts {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			_ = h.Stop(ctx)
+			cancel()
+		}
+	}
+	for _, self := range members {
+		cfg := quorum.Config{
+			Dir: filepath.Join(dir, self.Addr), ID: self.ID, Addr: self.Addr,
+			Machine: control.NewMachine(), Sender: m,
+		}
+		if err := quorum.Format(cfg, members); err != nil {
+			return nil, stop, err
+		}
+		h, err := quorum.Open(cfg)
+		if err != nil {
+			return nil, stop, err
+		}
+		m.mu.Lock()
+		m.hosts[self.ID] = h
+		m.mu.Unlock()
+	}
+	return m, stop, nil
+}
+
+func (m *mesh) leader() *quorum.Host {
+	for _, h := range m.hosts {
+		if _, _, self := h.Leader(); self {
+			return h
+		}
+	}
+	return nil
+}
+
+func measureCommit(ctx context.Context, o Options, callers int) (map[string]float64, error) {
+	dir, err := os.MkdirTemp(o.Dir, "slope")
+	if err != nil {
+		return nil, errors.Wrap(err, "make data directory")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	m, stop, err := startQuorum(dir)
+	defer stop()
+	if err != nil {
+		return nil, err
+	}
+	if err := until(ctx, 10*time.Second, func() bool { return m.leader() != nil }); err != nil {
+		return nil, err
+	}
+	return claimFor(ctx, m.leader(), callers, o.For/2)
+}
+
+// claimFor keeps the given number of claims in progress for a time.
+func claimFor(ctx context.Context, leader *quorum.Host, callers int, length time.Duration) (map[string]float64, error) {
+	var done, next atomic.Int64
+	deadline := time.Now().Add(length)
+	u := now()
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for time.Now().Before(deadline) && ctx.Err() == nil {
+				data := control.Encode(claimCommand(int(next.Add(1))))
+				if _, status := leader.Propose(ctx, data); status == quorum.Committed {
+					done.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	cpu, wall := u.since()
+	n := float64(done.Load())
+	if n == 0 {
+		return nil, errors.New("no claim was committed")
+	}
+	return map[string]float64{
+		"per_second": n / wall.Seconds(),
+		"mean_ms":    1000 * wall.Seconds() * float64(callers) / n,
+		"cpu_us":     float64(cpu.Microseconds()) / n,
+	}, nil
+}
