Give a slow host more time for the first frame; test a crashing request through nodes

The test of the crashing request was not seen failing in this form: its first form hung because the stand-in did not read the body before it waited.

--- a/cmd/mulberrynode/claims_test.go
+++ b/cmd/mulberrynode/claims_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -39,6 +40,36 @@
 	return lis.Addr().String(), cancel
 }
 
+// Guards against one request that takes down one upstream after the other: it
+// may crash two, the second one alone, and is then refused by every node.
+func TestCrashingRequestTakesDownTwo(t *testing.T) {
+	is := is.New(t)
+	g := newFakeGroup()
+	entry := startNode(t, g, "entry", "d1")
+	var crashes atomic.Int64
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		n := startNode(t, g, name, "d1")
+		var srv *httptest.Server
+		srv = announceUpstream(t, n, func(_ http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				io.Copy(io.Discard, r.Body)
+				crashes.Add(1)
+				srv.Listener.Close()
+				panic(http.ErrAbortHandler)
+			}
+		})
+	}
+	for range 6 {
+		call(t, entry, "POST", "/filings", "boom")
+	}
+	is.Equal(crashes.Load(), int64(2))
+	status, h, _ := call(t, entry, "POST", "/filings", "boom")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(h.Get("Mulberry-Reason"), "crasher")
+	status, _, _ = call(t, entry, "GET", "/patterns", "")
+	is.Equal(status, http.StatusOK) // the others still work
+}
+
 // Guards against a keyed request that runs twice, whose repeat gets another
 // answer than the first one, or that runs without a claim; the entry node and
 // the admitting node differ.
--- a/protocol/forward/call.go
+++ b/protocol/forward/call.go
@@ -163,6 +163,11 @@
 func (x *call) silent() {
 	before := x.frames.Load()
 	reply, err := x.ask(context.Background(), resolveRequest{Peek: true})
+	if err == nil && reply.State == stateRunning && x.reused && before == 0 {
+		// The first frame of a reused connection has less time than the
+		// others. A slow host gets the rest.
+		time.Sleep(silence - admitSilence)
+	}
 	if x.frames.Load() != before {
 		return
 	}
