--- a/coordination/quorum/config.go
+++ b/coordination/quorum/config.go
@@ -1,8 +1,7 @@
 package quorum
 
 import (
-	"crypto/rand"
-	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,8 +17,11 @@
 	defaultElectionMax     = 1000 * time.Millisecond
 	defaultSnapshotEntries = 10_000
 	defaultSnapshotBytes   = 64 << 20
-	// MaxProposal is the largest proposal in bytes.
-	MaxProposal = 4 << 20
+	// MaxProposal is the largest proposal in bytes. A message holds at most one
+	// such entry or 1 MiB of smaller ones.
+	MaxProposal = 1 << 20
+	// maxPendingBytes bounds the proposals that wait for a commit.
+	maxPendingBytes = 32 << 20
 	// maxBatchBytes bounds the entries of one sync.
 	maxBatchBytes = 16 << 20
 	maxMembers    = 7
@@ -172,19 +174,18 @@
 }
 
 // openStore opens the data directory; an empty one becomes a blank member.
-func openStore(fs storage.FS, opts storage.Options) (*storage.Store, storage.State, error) {
-	store, st, err := storage.Open(fs, opts)
+func openStore(fs storage.FS, d deps) (*storage.Store, storage.State, error) {
+	store, st, err := storage.Open(fs, d.store)
 	if err != nil || st.Exists {
 		return store, st, err
 	}
-	st.Exists, st.Hard = true, storage.Hard{ID: randomID()}
+	st.Exists, st.Hard = true, storage.Hard{ID: randomID(d.random)}
 	return store, st, store.Init(st.Hard)
 }
 
-func randomID() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
-	return binary.LittleEndian.Uint64(b[:]) | 1
+// randomID returns an identity that is not 0.
+func randomID(random func(int64) int64) uint64 {
+	return uint64(random(math.MaxInt64)) + 1
 }
 
 // writeBatch makes a batch durable. The hard state comes first: entries of a
--- a/coordination/quorum/loop.go
+++ b/coordination/quorum/loop.go
@@ -1,7 +1,7 @@
 package quorum
 
 import (
-	"math/rand/v2"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,7 +48,7 @@
 	if h.failed != nil {
 		return
 	}
-	h.core.clock(time.Now())
+	h.core.clock(h.deps.now())
 	h.core.step(m)
 	for n := len(h.inbox); n > 0; n-- {
 		h.core.step(<-h.inbox)
@@ -62,7 +62,7 @@
 	size := 0
 	for n := len(h.proposals); ; n-- {
 		switch {
-		case h.failed != nil || !h.core.accepts():
+		case h.failed != nil || !h.core.accepts() || h.waiting+size > maxPendingBytes:
 			h.refuse(p)
 		case p.state.CompareAndSwap(proposalQueued, proposalTaken):
 			taken, items = append(taken, p), append(items, p.data)
@@ -76,6 +76,7 @@
 	if len(taken) == 0 {
 		return
 	}
+	h.waiting += size
 	first := h.core.propose(items)
 	h.leadTerm = h.core.term()
 	for i, p := range taken {
@@ -109,7 +110,7 @@
 		answer(calls, false)
 		return
 	}
-	token := rand.Uint64()
+	token := uint64(h.deps.random(math.MaxInt64))
 	h.reads[token] = calls
 	h.core.read(token)
 }
@@ -145,7 +146,7 @@
 // flush hands on the outputs of the core.
 func (h *Host) flush() {
 	if h.failed == nil {
-		h.core.tick(time.Now())
+		h.core.tick(h.deps.now())
 		if err := h.applyCommitted(); err != nil {
 			h.fail(err)
 		}
@@ -176,6 +177,7 @@
 		p.finish(nil, Indeterminate)
 		delete(h.pending, index)
 	}
+	h.waiting = 0
 }
 
 func (h *Host) applyCommitted() error {
@@ -208,6 +210,7 @@
 		return
 	}
 	delete(h.pending, e.Index)
+	h.waiting -= len(p.data)
 	if e.Term == h.leadTerm {
 		p.finish(result, Committed)
 	} else {
@@ -239,7 +242,7 @@
 
 // sweep forgets reads that nobody waits for any more.
 func (h *Host) sweep() {
-	now := time.Now()
+	now := h.deps.now()
 	if now.Before(h.sweepAt) {
 		return
 	}
