End leadership and candidacy while a sync hangs

A leader whose disk hung kept its followers through heartbeats and could apply nothing, so each proposal waited for its deadline. After a sync of an election timeout (1 s) a member now steps down, does not campaign, and Status shows it as not voting. TestHangingSyncEndsLeadership fails with the check switched off.

TestFuzzGroup now has syncs of up to 4 s.

--- a/coordination/quorum/core.go
+++ b/coordination/quorum/core.go
@@ -66,6 +66,7 @@
 	restore  *storage.Snapshot
 	compact  *storage.Snapshot
 	inFlight *batch
+	takenAt  time.Time // when inFlight was taken
 }
 
 // batch is what must be synced before the messages in after may be sent.
@@ -125,7 +126,7 @@
 		return
 	}
 	c.resetElection()
-	c.heartbeatAt, c.heardLeader = now, time.Time{}
+	c.heartbeatAt, c.heardLeader, c.takenAt = now, time.Time{}, now
 	if c.transferTo != 0 {
 		c.transferUntil = now.Add(c.timing.electionMax)
 	}
@@ -147,14 +148,14 @@
 	}
 	if !now.Before(c.electionAt) {
 		c.resetElection()
-		if c.isVoter(c.id) {
+		if c.isVoter(c.id) && !c.stalled() {
 			c.campaignPre()
 		}
 	}
 }
 
 func (c *core) tickLeader() {
-	if !c.hooks.noCheckQuorum && !c.heardQuorum() {
+	if c.stalled() || !c.hooks.noCheckQuorum && !c.heardQuorum() {
 		c.becomeFollower(c.term(), 0)
 		return
 	}
@@ -167,6 +168,12 @@
 	}
 }
 
+// stalled reports a sync that takes longer than an election timeout. Such a
+// member would lead without being able to apply anything.
+func (c *core) stalled() bool {
+	return c.inFlight != nil && c.now.Sub(c.takenAt) >= c.timing.electionMax
+}
+
 func (c *core) resetElection() {
 	span := int64(c.timing.electionMax - c.timing.electionMin)
 	c.electionAt = c.now.Add(c.timing.electionMin + time.Duration(c.deps.random(span+1)))
@@ -204,7 +211,7 @@
 	case ReadIndex:
 		c.handleReadIndex(m)
 	case TakeOver:
-		if c.isVoter(c.id) && c.role != Leader {
+		if c.isVoter(c.id) && c.role != Leader && !c.stalled() {
 			c.campaign(true)
 		}
 	}
@@ -346,6 +353,7 @@
 	if b.compact != nil {
 		b.dropLog = b.compact.Index - min(b.compact.Index, c.deps.trailing)
 	}
+	c.takenAt = c.now
 	c.inFlight, c.install, c.compact, c.held, c.dirty = b, nil, nil, nil, false
 	if c.nextUnsynced() <= c.log.last() {
 		// The batch does not reach the end of the log: the messages wait on.
--- a/coordination/quorum/core_test.go
+++ b/coordination/quorum/core_test.go
@@ -105,3 +105,24 @@
 	is.Equal(len(out), 1)
 	is.Equal(out[0].Kind, Vote)
 }
+
+// Guards against a leader whose disk hangs: it hears its followers, but can
+// apply nothing, so every proposal would wait. It must neither lead nor
+// campaign until the sync returns.
+func TestHangingSyncEndsLeadership(t *testing.T) {
+	is := is.New(t)
+	c := newTestLeader(t, hooks{})
+	ack(c, 3)
+	c.propose([][]byte{[]byte("x")})
+	is.True(c.takeBatch() != nil)
+	start := c.now
+	for ms := range 5000 {
+		c.tick(start.Add(time.Duration(ms) * time.Millisecond))
+		ack(c, 4)
+		is.True(c.role == Leader == (ms < 1000))
+		is.True(c.role == Leader || c.role == Follower)
+	}
+	c.persisted()
+	c.tick(start.Add(6 * time.Second))
+	is.Equal(c.role, PreCandidate)
+}
--- a/coordination/quorum/fuzz_test.go
+++ b/coordination/quorum/fuzz_test.go
@@ -56,6 +56,7 @@
 	counts  map[string]int
 
 	keepIdentity bool // a wiped host keeps its identity: must be found
+	slowSyncs    bool // some syncs take seconds; makes rare violations rarer
 }
 
 type letter struct {
@@ -371,6 +372,7 @@
 	for ; total < steps; seed++ {
 		size := 3 + 2*(seed%2)
 		w := newWorld(uint64(seed), size, hooks{})
+		w.slowSyncs = true
 		if err := w.run(stepsPerSeed); err != nil {
 			t.Fatalf("seed %d size %d at %v: %v", seed, size, w.now, err)
 		}
--- a/coordination/quorum/simnode_test.go
+++ b/coordination/quorum/simnode_test.go
@@ -159,6 +159,9 @@
 	case b := <-n.host.disk:
 		n.batch = b
 		n.syncAt = n.world.now + time.Duration(n.world.rand.IntN(30))*time.Millisecond
+		if n.world.slowSyncs && !n.world.calm && n.world.rand.IntN(300) == 0 {
+			n.syncAt += time.Duration(n.world.rand.IntN(4000)) * time.Millisecond
+		}
 	default:
 	}
 	n.world.checkLeader(n)
--- a/coordination/quorum/status.go
+++ b/coordination/quorum/status.go
@@ -18,7 +18,9 @@
 	// Learners has the highest synced entry of each learner; only a leader
 	// knows it.
 	Learners map[uint64]uint64
-	// Voting tells whether this member takes part in elections.
+	// Voting tells whether this member takes part in elections. It is false
+	// for a learner, after a disk error and during a sync that takes longer than
+	// an election timeout.
 	Voting bool
 	// Err is why it stopped taking part: a disk error or Stop.
 	Err error
@@ -32,7 +34,7 @@
 	st := &State{
 		ID: c.id, Term: c.term(), Role: c.role, Leader: c.leader,
 		Commit: c.commit, Applied: h.applied, Members: c.members(),
-		Voting: h.failed == nil && c.isVoter(c.id), Err: h.failed,
+		Voting: h.failed == nil && c.isVoter(c.id) && !c.stalled(), Err: h.failed,
 	}
 	for _, m := range st.Members {
 		if p := c.peers[m.ID]; m.Learner && p != nil {
