Recognize the death of an upstream that is back at once

An upstream with one request in flight that restarted before the connection check (10 ms) was taken for a living one that closed a connection. Its request did not become a suspect and took down the next upstream.

A cut request is now remembered for 5 s, at most 256 of them, for the present incarnation. A new incarnation or a refused connection makes them suspects. The caller of a cut request waits up to 300 ms for such a sign before it gets unknown; it waits 50 ms when an earlier request still runs on the upstream. Requests of which no byte was written are no longer suspects. A late sign of an old incarnation no longer marks the new one as down.

--- a/cmd/mulberrynode/admit.go
+++ b/cmd/mulberrynode/admit.go
@@ -31,7 +31,6 @@
 	backend  *backend.Backend
 	claims   answerRecorder // nil without control hosts
 	suspects *suspects
-	down     func() // called when the upstream refuses connections
 	stats    *stats
 	busy     sync.WaitGroup // answers being recorded
 }
@@ -64,9 +63,6 @@
 		sent.Body = &sentReader{Reader: r.Body, sent: t.Sent}
 	}
 	res := a.backend.Do(ctx, &sent)
-	if res.Refused {
-		a.down()
-	}
 	if res.Outcome != mulberrylink.Answered {
 		t.Done(admission.Completion{Class: classOf(res)})
 		if res.Outcome == mulberrylink.Unknown && r.Keyed {
--- a/cmd/mulberrynode/node.go
+++ b/cmd/mulberrynode/node.go
@@ -75,10 +75,12 @@
 		list: suspect.New(suspect.Config{Clock: systemClock{}}), group: p.group,
 		service: func() string { return n.upstream.current().Service }, log: l,
 	}
-	n.backend = backend.New(backend.Config{Died: n.upstreamDied})
+	n.backend = backend.New(backend.Config{
+		Died: n.upstreamDied,
+		Down: func(t backend.Target) { n.upstream.down(t.Addr, t.Incarnation) },
+	})
 	n.admitter = &admitter{
 		refuse: n.standing.admit, gate: p.gate, backend: n.backend, suspects: n.suspects, stats: n.stats,
-		down: n.upstream.down,
 	}
 	if n.parts.link != nil {
 		n.admitter.claims = n.parts.link
@@ -200,7 +202,7 @@
 	if a.State == mulberrylink.UpstreamDown {
 		n.backend.Clear()
 	} else {
-		n.backend.Use(backend.Target{Addr: a.Addr, Connections: a.Connections})
+		n.backend.Use(backend.Target{Addr: a.Addr, Connections: a.Connections, Incarnation: a.Incarnation})
 	}
 	n.parts.gate.Announce(a)
 	if cfg := n.active.config(); cfg != nil {
@@ -219,7 +221,6 @@
 	n.stats.count("upstream_died")
 	n.log.Warn().Int("inflight", len(prints)).Msg("upstream died")
 	n.suspects.crashed(prints)
-	n.upstream.down()
 }
 
 func (n *node) gauges() {
--- a/cmd/mulberrynode/upstream.go
+++ b/cmd/mulberrynode/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,13 +71,15 @@
 
 	mu  sync.Mutex
 	cur announcement
+	// seen is cur for readers, who must not wait for changed.
+	seen atomic.Pointer[announcement]
 }
 
 func (u *upstream) announce(a announcement) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	old := u.cur
-	u.cur = a
+	u.set(a)
 	old.Expires = a.Expires
 	if old == a {
 		return
@@ -86,15 +89,30 @@
 	u.changed(a)
 }
 
-// down marks the upstream as down until its next announcement.
-func (u *upstream) down() {
+func (u *upstream) set(a announcement) {
+	u.cur = a
+	u.seen.Store(&a)
+}
+
+// down marks the upstream as down until its next announcement, unless another
+// incarnation has been announced meanwhile.
+func (u *upstream) down(addr string, incarnation uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.cur.Addr != addr || u.cur.Incarnation != incarnation {
+		return
+	}
+	u.stop()
+}
+
+func (u *upstream) stop() {
 	if u.cur.State == mulberrylink.UpstreamDown {
 		return
 	}
-	u.cur.State = mulberrylink.UpstreamDown
-	u.changed(u.cur)
+	next := u.cur
+	next.State = mulberrylink.UpstreamDown
+	u.set(next)
+	u.changed(next)
 }
 
 // expire marks the upstream as down once its announcement has expired.
@@ -104,9 +122,8 @@
 	if u.cur.State == mulberrylink.UpstreamDown || now.Before(u.cur.Expires) {
 		return
 	}
-	u.cur.State = mulberrylink.UpstreamDown
 	u.log.Warn().Str("service", u.cur.Service).Str("addr", u.cur.Addr).Msg("upstream announcement expired")
-	u.changed(u.cur)
+	u.stop()
 }
 
 func (u *upstream) watch(ctx context.Context, now func() time.Time) {
@@ -123,9 +140,10 @@
 }
 
 func (u *upstream) current() announcement {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.cur
+	if a := u.seen.Load(); a != nil {
+		return *a
+	}
+	return announcement{}
 }
 
 // refuse returns the reason to refuse work of the service for the upstream.
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -54,13 +54,20 @@
 	Addr string
 	// Connections is the largest number of connections, 0 for no limit.
 	Connections int
+	// Incarnation differs after each start of the upstream, 0 when it is not
+	// announced.
+	Incarnation uint64
 }
 
 // Config sets up a Backend.
 type Config struct {
 	// Died is called with the fingerprints in flight when the upstream died,
-	// before any of their callers gets its result. It may be nil.
+	// before any of their callers gets its result. Use can call it. It may be
+	// nil and must not call the Backend.
 	Died func(prints []uint64)
+	// Down is called when the target refuses connections or died. It may be
+	// nil.
+	Down func(t Target)
 }
 
 // Result is what became of one request and how long the upstream took.
@@ -98,8 +105,9 @@
 }
 
 // Use makes t the target of later requests. Requests in flight are not
-// disturbed.
+// disturbed. A new incarnation shows that the one before died or stopped.
 func (b *Backend) Use(t Target) {
+	b.deaths.begin(t.Incarnation, b.cfg.Died)
 	old := b.target.Load()
 	if old != nil && old.target == t {
 		return
--- a/transport/backend/do.go
+++ b/transport/backend/do.go
@@ -28,7 +28,7 @@
 		return Result{Result: notRun(mulberrylink.ReasonNoUpstream)}
 	}
 	flight := b.deaths.enter(r.Print)
-	res := b.once(ctx, c, r)
+	res := b.once(ctx, c, r, &flight.written)
 	res.Took = time.Since(start)
 	if res.Outcome != mulberrylink.Answered {
 		b.failed(c, flight, &res)
@@ -49,8 +49,7 @@
 	cut bool // the connection ended without an answer
 }
 
-func (b *Backend) once(ctx context.Context, c *client, r *mulberrylink.Request) try {
-	var w written
+func (b *Backend) once(ctx context.Context, c *client, r *mulberrylink.Request, w *written) try {
 	body := newBody(r)
 	req, err := newRequest(httptrace.WithClientTrace(ctx, w.trace()), c, r, body)
 	if err != nil {
@@ -58,7 +57,7 @@
 	}
 	resp, err := c.service.DoRequest(req)
 	if err != nil {
-		return classify(ctx, err, &w, body)
+		return classify(ctx, err, w, body)
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == "true" {
 		_, _ = io.CopyN(io.Discard, resp.Body, bufferBytes)
