Check the content and memory of large bodies, and polling of peers

The 64 MiB test passed with a changed byte, because both bodies were zeros and only lengths were compared. It now sends bytes that tell their position and bounds the growth of the heap by half a body. No test covered a node that has its version confirmed and then loses the control hosts.

--- a/cmd/mulberrynode/config_test.go
+++ b/cmd/mulberrynode/config_test.go
@@ -46,10 +46,10 @@
 func (l *fakeLink) LastHeard() time.Time { return time.Unix(l.heard.Load(), 0) }
 
 // fakePeers serves the configuration of any peer.
-type fakePeers struct{ version uint64 }
+type fakePeers struct{ version *atomic.Uint64 }
 
 func (p fakePeers) Config(context.Context, mulberrylink.Node, uint64) (newest uint64, data []byte, err error) {
-	return p.version, []byte("x"), nil
+	return p.version.Load(), []byte("x"), nil
 }
 
 func newActive(changed func(old, next *committed)) *active {
@@ -107,7 +107,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			start := time.Now()
-			go a.follow(ctx, link, view{g, "self"}, fakePeers{c.peers})
+			go a.follow(ctx, link, view{g, "self"}, peersWith(c.peers))
 			got := <-first
 			is.True(time.Since(start) >= c.earliest)
 			if c.quorum > 0 {
@@ -121,6 +121,33 @@
 	}
 }
 
+func peersWith(version uint64) fakePeers {
+	p := fakePeers{new(atomic.Uint64)}
+	p.version.Store(version)
+	return p
+}
+
+// Guards against a node that misses a change while no control host reaches it:
+// peers that have the newer version are asked for it at any time.
+func TestConfigurationOfPeersWithoutControlHosts(t *testing.T) {
+	is := is.New(t)
+	a := newActive(func(_, _ *committed) {})
+	link := &fakeLink{version: 7, push: make(chan uint64)} // never pushes
+	g := newFakeGroup()
+	peers := peersWith(7)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go a.follow(ctx, link, view{g, "self"}, peers)
+	until(t, "confirmed version is active", func() bool { return a.version() == 7 })
+	for _, v := range []uint64{8, 12} {
+		peers.version.Store(v)
+		view{g, "p"}.Update(func(n *mulberrylink.Node) { n.Addr, n.Version = "x", v })
+		start := time.Now()
+		until(t, "newer version of a peer is active", func() bool { return a.version() == v })
+		is.True(time.Since(start) < 3*time.Second) // the target for a domain out of service
+	}
+}
+
 // rampGate counts the restarts of the limit.
 type rampGate struct {
 	gate
--- a/cmd/mulberrynode/front_test.go
+++ b/cmd/mulberrynode/front_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/mulberrylink/mulberrylink"
@@ -113,7 +115,7 @@
 }
 
 // Guards against uploads and downloads of 64 MiB that are changed on their way
-// through two nodes.
+// through two nodes, or that are collected in memory.
 func TestLargeBodiesPassBothWays(t *testing.T) {
 	const size = 64 << 20
 	is := is.New(t)
@@ -121,22 +123,68 @@
 	entry := startNode(t, g, "a", "d1")
 	beside := startNode(t, g, "b", "d1")
 	announceUpstream(t, beside, func(w http.ResponseWriter, r *http.Request) {
-		n, err := io.Copy(io.Discard, r.Body)
-		w.Header().Set("X-Got", fmt.Sprint(n, err))
+		sum := xxhash.New()
+		n, err := io.Copy(sum, r.Body)
+		w.Header().Set("X-Got", fmt.Sprint(n, err, sum.Sum64()))
 		w.Header().Set("Content-Length", fmt.Sprint(size))
-		io.Copy(w, io.LimitReader(zeros{}, size))
+		io.Copy(w, io.LimitReader(&numbers{}, size))
 	})
-	req, err := http.NewRequest("PUT", "http://"+entry.front.Addr()+"/patterns", io.LimitReader(zeros{}, size))
+	want := xxhash.New()
+	io.Copy(want, io.LimitReader(&numbers{}, size))
+	req, err := http.NewRequest("PUT", "http://"+entry.front.Addr()+"/patterns", io.LimitReader(&numbers{}, size))
 	is.NoErr(err)
 	req.Host = "archive"
 	req.ContentLength = size
+	peak := heapPeak()
 	resp, err := http.DefaultClient.Do(req)
 	is.NoErr(err)
 	defer resp.Body.Close()
-	is.Equal(resp.Header.Get("X-Got"), fmt.Sprint(size, nil))
-	n, err := io.Copy(io.Discard, resp.Body)
+	is.Equal(resp.Header.Get("X-Got"), fmt.Sprint(size, nil, want.Sum64()))
+	got := xxhash.New()
+	n, err := io.Copy(got, resp.Body)
 	is.NoErr(err)
 	is.Equal(n, int64(size))
+	is.Equal(got.Sum64(), want.Sum64())
+	is.True(peak() < size/2) // two nodes, caller and upstream together
+}
+
+// heapPeak samples the heap until the returned function is called, which
+// returns how far it grew.
+func heapPeak() func() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	base, top := m.HeapAlloc, m.HeapAlloc
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				runtime.ReadMemStats(&m)
+				top = max(top, m.HeapAlloc)
+			}
+		}
+	}()
+	return func() uint64 {
+		close(stop)
+		<-done
+		return top - base
+	}
+}
+
+// numbers yields bytes that tell their position.
+type numbers struct{ at uint32 }
+
+// Read implements io.Reader.
+func (n *numbers) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(n.at * 2654435761 >> 24)
+		n.at++
+	}
+	return len(p), nil
 }
 
 type zeros struct{}
