Reuse the buffers that copy answers

Each short answer allocated 32 KiB at the entry node (38% of all bytes allocated) and 32 KiB more at the admitting node (18%).

Ruled out by the CPU profile: the front's own code is 6% of the samples, of which histogram lock, header copies and identifiers are below 1% each.

--- a/cmd/mulberrynode/bench_test.go
+++ b/cmd/mulberrynode/bench_test.go
@@ -11,7 +11,8 @@
 )
 
 // BenchmarkPath compares the direct path to an upstream with the path through
-// the node beside it and through two nodes, in turn, one request at a time.
+// the node beside it and through two nodes, in turn, one request at a time. The
+// metrics that start with added are the latency that the nodes measure inside.
 func BenchmarkPath(b *testing.B) {
 	g := newFakeGroup()
 	entry := startNode(b, g, "a", "d1")
@@ -43,6 +44,12 @@
 			took[i].RecordValue(time.Since(start).Microseconds())
 		}
 	}
+	for name, n := range map[string]*node{"added-one": beside, "added-two": entry} {
+		n.stats.mu.Lock()
+		b.ReportMetric(float64(n.stats.added.ValueAtQuantile(50)), name+"-p50-us")
+		b.ReportMetric(float64(n.stats.added.ValueAtQuantile(99)), name+"-p99-us")
+		n.stats.mu.Unlock()
+	}
 	for i, p := range paths {
 		b.ReportMetric(float64(took[i].ValueAtQuantile(50)), p.name+"-p50-us")
 		b.ReportMetric(float64(took[i].ValueAtQuantile(99)), p.name+"-p99-us")
--- a/protocol/forward/server.go
+++ b/protocol/forward/server.go
@@ -194,6 +194,9 @@
 	}
 }
 
+// chunkBuffers saves an allocation of a whole chunk for each answer.
+var chunkBuffers = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+
 // answer sends the answer and keeps a copy while the entry node has not
 // acknowledged it.
 func (e *serverExchange) answer(res mulberrylink.Result) error {
@@ -203,7 +206,9 @@
 	}}
 	stop := beat(e.st, beatInterval)
 	defer stop()
-	buf := make([]byte, chunkBytes)
+	held, _ := chunkBuffers.Get().(*[chunkBytes]byte)
+	defer chunkBuffers.Put(held) // a frame that was sent does not refer to it
+	buf := held[:]
 	for {
 		n, err := readChunk(res.Answer, buf)
 		if errors.Is(err, io.EOF) {
--- a/transport/front/serve.go
+++ b/transport/front/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -181,10 +182,16 @@
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// copyBuffers saves an allocation of 32 KiB for each answer, which was a third
+// of the bytes allocated.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
 // copyBody sends what has arrived at once when the length is not known,
 // because the upstream may be sending piece by piece.
 func copyBody(w http.ResponseWriter, a *mulberrylink.Answer) error {
-	buf := make([]byte, copyBytes)
+	held, _ := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(held)
+	buf := held[:]
 	flush := http.NewResponseController(w)
 	for {
 		n, err := a.Body.Read(buf)
