Measure the upstream's part between the bytes on its connection

The latency that a node reports as added left out what the HTTP client spends on the way to the upstream, because the upstream's part was taken around the whole call. It is now the time from the last byte of the request (of its header when the body is streamed) to the first byte of the answer, plus the wait for a place.

--- a/cmd/mulberrynode/admit.go
+++ b/cmd/mulberrynode/admit.go
@@ -55,6 +55,7 @@
 	if t == nil {
 		return a.refused(reason)
 	}
+	waited := time.Since(start)
 	admitted()
 	sent := *r
 	if r.Body == nil {
@@ -71,7 +72,7 @@
 		return res.Result
 	}
 	t.Responded()
-	us := time.Since(start).Microseconds()
+	us := max((waited + res.Took).Microseconds(), 1)
 	res.Answer.Header.Set(front.HeaderTook, strconv.FormatInt(us, 10))
 	a.hold(ctx, r, res.Answer, func(complete bool) {
 		t.Done(admission.Completion{Class: answerClass(res.Answer.Status, complete)})
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -73,8 +73,8 @@
 // Result is what became of one request and how long the upstream took.
 type Result struct {
 	mulberrylink.Result
-	// Took is the time from the first attempt to connect to the header of
-	// the answer.
+	// Took is the time from the last byte of the request, or of its header
+	// when the body is streamed, to the first byte of the answer.
 	Took time.Duration
 	// Refused is true when the upstream refused the connection.
 	Refused bool
--- a/transport/backend/do.go
+++ b/transport/backend/do.go
@@ -29,7 +29,7 @@
 	}
 	flight := b.deaths.enter(r.Print)
 	res := b.once(ctx, c, r, &flight.written)
-	res.Took = time.Since(start)
+	res.Took = flight.written.wait(r, start)
 	if res.Outcome != mulberrylink.Answered {
 		b.failed(c, flight, &res)
 		b.deaths.leave(flight)
@@ -158,17 +158,46 @@
 	mu     sync.Mutex
 	conn   *countedConn
 	before int64
+	// Times of one request on its connection.
+	head, whole, answer time.Time
 }
 
 func (w *written) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if c, ok := info.Conn.(*countedConn); ok {
-			w.conn = c
-			w.before = c.written.Load()
-		}
-	}}
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if c, ok := info.Conn.(*countedConn); ok {
+				w.conn = c
+				w.before = c.written.Load()
+			}
+		},
+		WroteHeaders:         func() { w.stamp(&w.head) },
+		WroteRequest:         func(httptrace.WroteRequestInfo) { w.stamp(&w.whole) },
+		GotFirstResponseByte: func() { w.stamp(&w.answer) },
+	}
+}
+
+func (w *written) stamp(at *time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	*at = time.Now()
+}
+
+// wait returns how long the upstream let the node wait for the first byte of
+// its answer. The time of a streamed body is the caller's or the upstream's and
+// not the node's, so it counts as well. Without an answer it is the whole time.
+func (w *written) wait(r *mulberrylink.Request, start time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	from := w.whole
+	if r.Body != nil && r.Replay == nil || from.IsZero() {
+		from = w.head
+	}
+	if w.answer.IsZero() || from.IsZero() {
+		return time.Since(start)
+	}
+	return max(w.answer.Sub(from), 0)
 }
 
 func (w *written) none() bool {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -83,7 +83,9 @@
 	Outcome mulberrylink.Outcome
 	Reason  mulberrylink.Reason
 	Status  int
-	// FirstByte is the time from the first byte in to the first byte out.
+	// FirstByte is the time from the header of the request to the header of
+	// the answer as this program sees them. The reading of the one and the
+	// last flush of the other are the server library's and not included.
 	FirstByte time.Duration
 	// Upstream is the part of FirstByte that was spent at the upstream or
 	// waiting for a place there.
