End writes to an entry node that takes no more data

A goroutine of the admitting node that wrote a long answer to a half-open connection, or to an entry node that stopped reading, waited for ever: the cancellation of the request does not reach a blocked write. A deadline for each write was ruled out, because a slow caller holds up writes for as long as its request may last.

--- a/protocol/forward/server.go
+++ b/protocol/forward/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/state/codec"
@@ -128,6 +129,7 @@
 		e.srv.table.acknowledge(e.x)
 		return
 	}
+	e.endWrites()
 	if g == goneCanceled {
 		cancel()
 		<-e.x.done
@@ -150,6 +152,16 @@
 	}
 }
 
+// endWrites makes writes to the entry node fail. One that waits for a half-open
+// connection or a stopped entry node would otherwise never return: it ends
+// callerSilence after the last frame of the entry node.
+func (e *serverExchange) endWrites() {
+	tr, _ := drpcctx.Transport(e.st.Context())
+	if conn, ok := tr.(interface{ SetWriteDeadline(at time.Time) error }); ok {
+		_ = conn.SetWriteDeadline(time.Now())
+	}
+}
+
 func (e *serverExchange) failed(res mulberrylink.Result) error {
 	load := newLoad(e.srv.cfg.Runner.Load())
 	e.srv.table.end(e.x, resolveReply{
