--- /dev/null
+++ b/coordination/control/example_test.go
@@ -0,0 +1,32 @@
+package control_test
+
+import (
+	"fmt"
+
+	"github.com/mulberrylink/mulberrylink/coordination/control"
+)
+
+// A claim is granted once; the same request may ask again, another one is told
+// that the key is taken.
+func ExampleMachine() {
+	m := control.NewMachine()
+	claim := func(index uint64, request string) {
+		data := control.Encode(control.Command{Now: int64(index), Claim: &control.ClaimCommand{
+			Service: "registry", Key: "filing-7", Print: 42,
+			Holder: "node-1", Request: request, Until: 1_000_000,
+		}})
+		res, err := control.DecodeResult(m.Apply(index, data))
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Println(request, res.Code)
+	}
+	claim(1, "a")
+	claim(2, "a")
+	claim(3, "b")
+	// Output:
+	// a granted
+	// a granted
+	// b pending
+}
