Publish the status before proposals of a lost leadership end

TestCutLeaderStepsDown failed once in 6 runs with -race: a caller that got Indeterminate could still see the member as leader, because its status was stored after the answer. The status is now stored first.

--- a/coordination/quorum/loop.go
+++ b/coordination/quorum/loop.go
@@ -135,12 +135,12 @@
 // must not vote, acknowledge or lead.
 func (h *Host) fail(err error) {
 	h.failed = err
+	h.core.becomeFollower(h.core.term(), 0)
 	h.endPending()
 	for token, calls := range h.reads {
 		answer(calls, false)
 		delete(h.reads, token)
 	}
-	h.core.becomeFollower(h.core.term(), 0)
 }
 
 // flush hands on the outputs of the core.
@@ -171,8 +171,12 @@
 	}
 }
 
-// endPending ends the proposals of a leadership that is over.
+// endPending ends the proposals of a leadership that is over. The status is
+// published first: who learns of the end must not find this member leading.
 func (h *Host) endPending() {
+	if len(h.pending) > 0 {
+		h.publish()
+	}
 	for index, p := range h.pending {
 		p.finish(nil, Indeterminate)
 		delete(h.pending, index)
