--- a/cmd/mulberrybench/slope/membership.go
+++ b/cmd/mulberrybench/slope/membership.go
@@ -18,16 +18,16 @@
 // size 370 restarts a day, three changes each, make one change in 78 s.
 const churnInterval = time.Second
 
-// crowd is a node group in one process, with real sockets.
-type crowd struct {
+// nodeGroup is a node group in one process, with real sockets.
+type nodeGroup struct {
 	conns  []*gossip.Conn
 	groups []*membership.Group
 	cancel context.CancelFunc
 }
 
-func startCrowd(ctx context.Context, n int) (*crowd, error) {
+func startGroup(ctx context.Context, n int) (*nodeGroup, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &crowd{cancel: cancel}
+	c := &nodeGroup{cancel: cancel}
 	var seeds []string
 	for i := range n {
 		conn, err := gossip.Listen("127.0.0.1:0")
@@ -56,14 +56,14 @@
 	return c, nil
 }
 
-func (c *crowd) stop() {
+func (c *nodeGroup) stop() {
 	c.cancel()
 	for _, conn := range c.conns {
 		_ = conn.Close()
 	}
 }
 
-func (c *crowd) joined() bool {
+func (c *nodeGroup) joined() bool {
 	for _, g := range c.groups {
 		if len(g.All()) != len(c.groups) {
 			return false
@@ -72,7 +72,7 @@
 	return true
 }
 
-func (c *crowd) sent() float64 {
+func (c *nodeGroup) sent() float64 {
 	total := 0.0
 	for _, conn := range c.conns {
 		_, bytes, _ := conn.Counts()
@@ -86,7 +86,7 @@
 		name: "membership", x: "nodes", target: targetNodes, sizes: []int{50, 100, 200, 400},
 		order: []string{"cpu_percent", "bytes", "heap_bytes", "join_seconds"},
 		run: func(ctx context.Context, o Options, n int) (map[string]float64, error) {
-			return measureCrowd(ctx, o, n, 0)
+			return measureGroup(ctx, o, n, 0)
 		},
 	}
 }
@@ -97,17 +97,17 @@
 		name: "churn", x: "nodes", target: targetNodes, sizes: []int{50, 100, 200, 400},
 		order: []string{"cpu_percent", "bytes"},
 		run: func(ctx context.Context, o Options, n int) (map[string]float64, error) {
-			return measureCrowd(ctx, o, n, churnInterval)
+			return measureGroup(ctx, o, n, churnInterval)
 		},
 	}
 }
 
-// measureCrowd returns the cost of one node in a group of n. Sent and received
+// measureGroup returns the cost of one node in a group of n. Sent and received
 // bytes are equal on average; bytes counts the sent ones.
-func measureCrowd(ctx context.Context, o Options, n int, churn time.Duration) (map[string]float64, error) {
+func measureGroup(ctx context.Context, o Options, n int, churn time.Duration) (map[string]float64, error) {
 	before := heap()
 	begin := time.Now()
-	c, err := startCrowd(ctx, n)
+	c, err := startGroup(ctx, n)
 	if err != nil {
 		return nil, err
 	}
@@ -138,7 +138,7 @@
 	}, nil
 }
 
-func (c *crowd) change(ctx context.Context, every time.Duration) {
+func (c *nodeGroup) change(ctx context.Context, every time.Duration) {
 	for i := 0; wait(ctx, every) == nil; i++ {
 		c.groups[i%len(c.groups)].Update(func(self *mulberrylink.Node) {
 			self.Slots = 12 + self.Slots%2
