Answer connections above the limit

A connection above the limit was closed without a word, so that its caller could not tell whether its request was run. Up to an eighth above the limit, and 16, connections now get 503 with outcome notrun and reason busy; beyond that they are closed at once. The package comment of transport/front lists what the server library answers without an outcome.

Seen failing: TestLimitsAreAnswered with the code before (connection closed), and without the close far above the limit.

--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -9,6 +9,21 @@
 // its own router has no catch-all route. None of its middlewares is on this
 // path: limits of time and size are those of the routes' configuration.
 //
+// # Answers without an outcome
+//
+// A request that this package sees gets an answer with an outcome, also one on
+// a connection above the limit (503, reason busy) and one whose headers are up
+// to 8 times as large as allowed (431, reason toolarge). The server library
+// answers or closes by itself, without Mulberry-Outcome, when
+//
+//   - the headers are larger than that: 431;
+//   - the request is not valid HTTP/1.1: 400, 501 or 505;
+//   - the header does not arrive within 10 s: the connection is closed;
+//   - the connections exceed the limit by more than an eighth: closed at once.
+//
+// None of these requests was run: nothing is dispatched before the whole header
+// has been read and checked.
+//
 // # Usage
 //
 //	f, err := front.New(front.Config{
@@ -52,6 +67,10 @@
 	headerTime = 10 * time.Second
 	// headerSlack is how far above the limit the server still reads a header.
 	headerSlack = 8
+	// answeredShare and answeredExtra say how many connections above the limit
+	// are still answered: an eighth of the limit and 16.
+	answeredShare = 8
+	answeredExtra = 16
 	// idleTime bounds how long a caller's unused connection is kept.
 	idleTime = 2 * time.Minute
 )
@@ -165,6 +184,7 @@
 	srv.ReadTimeout = 0
 	srv.WriteTimeout = 0
 	srv.ConnState = f.connState
+	srv.ConnContext = f.connContext
 	srv.ErrorLog = nil
 	srv.BaseContext = func(lis net.Listener) context.Context {
 		f.addr = lis.Addr().String()
@@ -173,11 +193,25 @@
 	}
 }
 
-// connState bounds the callers' connections. The server has no limit itself.
+// overLimit marks the context of a connection above the limit.
+type overLimit struct{}
+
+// connContext counts the callers' connections and marks those above the limit,
+// whose first request is refused. The server calls it before connState.
+func (f *Front) connContext(ctx context.Context, _ net.Conn) context.Context {
+	if n := f.conns.Add(1); f.cfg.MaxConns > 0 && n > int64(f.cfg.MaxConns) {
+		return context.WithValue(ctx, overLimit{}, true)
+	}
+	return ctx
+}
+
+// connState closes connections far above the limit at once, so that callers who
+// never send a request cannot use up the files of the process.
 func (f *Front) connState(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		if n := f.conns.Add(1); f.cfg.MaxConns > 0 && n > int64(f.cfg.MaxConns) {
+		limit := int64(f.cfg.MaxConns)
+		if limit > 0 && f.conns.Load() > limit+limit/answeredShare+answeredExtra {
 			_ = conn.Close()
 		}
 	case http.StateClosed, http.StateHijacked:
--- a/transport/front/serve.go
+++ b/transport/front/serve.go
@@ -41,8 +41,11 @@
 			f.cfg.Done(ev)
 		}
 	}()
-	if reason := f.refusal(); reason != mulberrylink.ReasonNone {
+	if reason := f.refusal(h.Context()); reason != mulberrylink.ReasonNone {
 		ev.Reason = reason
+		if reason == mulberrylink.ReasonBusy || reason == mulberrylink.ReasonLeaving {
+			w.Header().Set("Connection", "close") // the next request goes elsewhere
+		}
 		ev.Status = f.report(w, mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: reason})
 		return
 	}
@@ -69,7 +72,10 @@
 	return time.Duration(us) * time.Microsecond
 }
 
-func (f *Front) refusal() mulberrylink.Reason {
+func (f *Front) refusal(ctx context.Context) mulberrylink.Reason {
+	if ctx.Value(overLimit{}) != nil {
+		return mulberrylink.ReasonBusy
+	}
 	if f.cfg.Refuse == nil {
 		return mulberrylink.ReasonNone
 	}
