--- a/cmd/mulberrynode/limits_test.go
+++ b/cmd/mulberrynode/limits_test.go
@@ -28,6 +28,7 @@
 		if err != nil {
 			return 0, ""
 		}
+		defer resp.Body.Close()
 		return resp.StatusCode, resp.Header.Get("Mulberry-Outcome") + " " + resp.Header.Get("Mulberry-Reason")
 	}
 	open := func() net.Conn {
