--- a/cmd/mulberrynode/bench_test.go
+++ b/cmd/mulberrynode/bench_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime/debug"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 // the node beside it and through two nodes, in turn, one request at a time. The
 // metrics that start with added are the latency that the nodes measure inside.
 func BenchmarkPath(b *testing.B) {
+	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent)) // as the program runs
 	g := newFakeGroup()
 	entry := startNode(b, g, "a", "d1")
 	beside := startNode(b, g, "b", "d1")
