--- /dev/null
+++ b/cmd/mulberrycontrol/group.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/coordination/quorum"
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+)
+
+// quorumGroup changes the members of a quorum.Host.
+type quorumGroup struct{ host *quorum.Host }
+
+func (g quorumGroup) Identity() controlplane.Identity {
+	st := g.host.Status()
+	return controlplane.Identity{
+		ID: st.ID, Blank: len(st.Members) == 0, Formed: st.Commit > 0 || st.Leader != 0, Voting: st.Voting,
+	}
+}
+
+// Add refuses at once what the log would leave waiting: a learner that may get
+// no vote before a silent voter is removed.
+func (g quorumGroup) Add(ctx context.Context, id uint64, addr string) (controlplane.MemberResult, controlplane.Status) {
+	st := g.host.Status()
+	if st.Role != quorum.Leader {
+		return controlplane.MemberResult{}, controlplane.StatusNotLeader
+	}
+	if res := refuseAdd(&st, id, addr); res.State == controlplane.MemberRefused {
+		return res, controlplane.StatusCommitted
+	}
+	err := g.host.AddMember(ctx, quorum.Member{ID: id, Addr: addr})
+	res, status := memberResult(err, controlplane.MemberCatchup)
+	if silent := g.host.Status().Silent; res.State == controlplane.MemberWaiting && silent != 0 {
+		res.Reason, res.Silent = controlplane.MemberSilent, silent
+	}
+	return res, status
+}
+
+func refuseAdd(st *quorum.State, id uint64, addr string) controlplane.MemberResult {
+	for _, m := range st.Members {
+		switch {
+		case m.ID == id && m.Addr == addr:
+			return controlplane.MemberResult{} // a repetition goes on
+		case m.ID == id || m.Addr == addr:
+			return refused(controlplane.MemberUsed, "member %016x at %s has this identity or address; remove it first", m.ID, m.Addr)
+		case m.Learner:
+			return refused(controlplane.MemberBusy, "member %016x at %s is being added", m.ID, m.Addr)
+		}
+	}
+	if len(st.Members) >= maxMembers {
+		return refused(controlplane.MemberFull, "the group has %d members", len(st.Members))
+	}
+	if st.Silent != 0 {
+		res := refused(controlplane.MemberSilent, "member %016x does not answer; remove it first", st.Silent)
+		res.Silent = st.Silent
+		return res
+	}
+	return controlplane.MemberResult{}
+}
+
+// Remove also accepts an identity that is already gone, because the first
+// answer may have been lost.
+func (g quorumGroup) Remove(ctx context.Context, id uint64) (controlplane.MemberResult, controlplane.Status) {
+	st := g.host.Status()
+	if st.Role != quorum.Leader {
+		return controlplane.MemberResult{}, controlplane.StatusNotLeader
+	}
+	return memberResult(g.host.RemoveMember(ctx, id), controlplane.MemberBusy)
+}
+
+// memberResult translates the error of a change; wait is the reason while it
+// is under way.
+func memberResult(err error, wait controlplane.MemberReason) (controlplane.MemberResult, controlplane.Status) {
+	var res controlplane.MemberResult
+	switch {
+	case err == nil:
+	case errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) || errors.Is(err, quorum.ErrIndeterminate):
+		res = controlplane.MemberResult{State: controlplane.MemberWaiting, Reason: wait, Text: err.Error()}
+	case errors.Is(err, quorum.ErrNotLeader), errors.Is(err, quorum.ErrStopped):
+		return res, controlplane.StatusNotLeader
+	case errors.Is(err, quorum.ErrBusy):
+		res = refused(controlplane.MemberBusy, "%s", err)
+	default:
+		res = refused(controlplane.MemberQuorum, "%s", err)
+	}
+	return res, controlplane.StatusCommitted
+}
+
+func refused(r controlplane.MemberReason, format string, args ...any) controlplane.MemberResult {
+	return controlplane.MemberResult{State: controlplane.MemberRefused, Reason: r, Text: fmt.Sprintf(format, args...)}
+}
--- a/cmd/mulberrycontrol/main.go
+++ b/cmd/mulberrycontrol/main.go
@@ -60,7 +60,7 @@
 			{
 				Name:        "init",
 				Usage:       "format the data directory of a new control host, once",
-				Description: "It refuses a directory that holds the state of a member. A host that lost its\ndisk joins under a new name.\n\nExample:\n  mulberrycontrol init --config config/association/control-c1.ini",
+				Description: "Run it on every host before the first one is started. It refuses a directory\nthat holds the state of a member, and a cluster that is already formed. A host\nthat lost its disk is started with run and added with mulberryctl members add.\n\nExample:\n  mulberrycontrol init --config config/association/control-c1.ini",
 				Flags:       []cli.Flag{configFlag()},
 				Action: func(_ context.Context, cmd *cli.Command) error {
 					return withSettings(cmd, format)
--- /dev/null
+++ b/cmd/mulberrycontrol/main_test.go
@@ -0,0 +1,295 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+	"github.com/mulberrylink/mulberrylink/state/codec"
+	"github.com/mulberrylink/mulberrylink/state/overlay"
+	"github.com/mulberrylink/mulberrylink/transport/rpc"
+)
+
+const (
+	// electionTimeout is the longest one of the control log.
+	electionTimeout = time.Second
+	// leaderTarget is the stated bound of the time to a new leader.
+	leaderTarget = 1500 * time.Millisecond
+	restartGoal  = 2 * time.Second
+	waitLimit    = 10 * time.Second
+)
+
+// long runs the measurements with the repetitions of the stated targets.
+var long = flag.Bool("long", false, "run measurements with all repetitions")
+
+// binDir holds the programs under test.
+var binDir string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "mulberrycontrol-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binDir = dir
+	for _, p := range []string{"mulberrycontrol", "mulberryctl"} {
+		out, err := exec.Command("go", "build", "-C", "../"+p, "-o", filepath.Join(dir, p), ".").CombinedOutput()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", p, err, out)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+// process is one control host. addr is where it listens, and shown is the
+// address that the others know, which may be that of a relay.
+type process struct {
+	t                        *testing.T
+	name, addr, shown, admin string
+	dir, file                string
+	cmd                      *exec.Cmd
+	done                     chan struct{}
+}
+
+type cluster struct {
+	t     *testing.T
+	pool  *rpc.Pool
+	hosts []*process
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+// newCluster formats and starts three hosts. Front gives the address that the
+// others use for a host; nil means its own.
+func newCluster(t *testing.T, front func(p *process) string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, pool: rpc.NewPool(rpc.PoolConfig{DialTimeout: linkDialTimeout, IdlePerAddr: 4})}
+	t.Cleanup(c.pool.Close)
+	root := t.TempDir()
+	var members []string
+	for i := 1; i <= 3; i++ {
+		p := &process{t: t, name: fmt.Sprintf("c%d", i), addr: freeAddr(t), admin: freeAddr(t)}
+		p.dir, p.file, p.shown = filepath.Join(root, p.name), filepath.Join(root, p.name+".ini"), p.addr
+		if front != nil {
+			p.shown = front(p)
+		}
+		members = append(members, p.name+"@"+p.shown)
+		c.hosts = append(c.hosts, p)
+	}
+	for _, p := range c.hosts {
+		text := fmt.Sprintf("[control]\nname = %s\ndomain = d1\ndata = %s\nmembers = %s\n[listen]\nrpc = %s\nadmin = %s\n[log]\nlevel = info\n",
+			p.name, p.dir, strings.Join(members, ", "), p.addr, p.admin)
+		if err := os.WriteFile(p.file, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if out, err := tool("mulberrycontrol", "init", "--config", p.file); err != nil {
+			t.Fatalf("init %s: %v %s", p.name, err, out)
+		}
+	}
+	for _, p := range c.hosts {
+		p.start()
+	}
+	return c
+}
+
+// tool runs a program under test to its end.
+func tool(name string, args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*waitLimit)
+	defer cancel()
+	out, err := exec.CommandContext(ctx, filepath.Join(binDir, name), args...).CombinedOutput()
+	return string(out), err
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	log, err := os.OpenFile(p.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer log.Close()
+	cmd, done := exec.Command(filepath.Join(binDir, "mulberrycontrol"), "run", "--config", p.file), make(chan struct{})
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	go func() { _ = cmd.Wait(); close(done) }()
+	p.cmd, p.done = cmd, done
+	p.t.Cleanup(func() { _ = cmd.Process.Kill(); <-done })
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
+func (p *process) kill() {
+	p.t.Helper()
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *process) wipe() {
+	p.t.Helper()
+	if err := os.RemoveAll(p.dir); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// client returns a client of the given hosts, or of all.
+func (c *cluster) client(hosts ...*process) *controlplane.Client {
+	if hosts == nil {
+		hosts = c.hosts
+	}
+	var addrs []string
+	for _, p := range hosts {
+		addrs = append(addrs, p.addr)
+	}
+	return controlplane.NewClient(c.pool, addrs)
+}
+
+// others returns all hosts but p.
+func (c *cluster) others(p *process) []*process {
+	var all []*process
+	for _, o := range c.hosts {
+		if o != p {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+// leader waits for a host among hosts that answers as the leader.
+func (c *cluster) leader(hosts ...*process) *process {
+	c.t.Helper()
+	if hosts == nil {
+		hosts = c.hosts
+	}
+	var found *process
+	until(c.t, "a leader", func() bool {
+		for _, p := range hosts {
+			if st, err := p.status(); err == nil && st.Self {
+				found = p
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timeout: %s", what)
+		}
+	}
+}
+
+// rawStatus and rawConfirmed are the replies of one host, read without the
+// client, which would follow the host's hint to the leader.
+type rawStatus struct {
+	Status  controlplane.Status `cbor:"z"`
+	Leader  string              `cbor:"y"`
+	Self    bool                `cbor:"s"`
+	Version uint64              `cbor:"v"`
+	ID      uint64              `cbor:"i"`
+	Blank   bool                `cbor:"b"`
+}
+
+type rawConfirmed struct {
+	Status  controlplane.Status `cbor:"z"`
+	Version uint64              `cbor:"v"`
+}
+
+// ask runs one method on exactly this host over a new connection.
+func (p *process) ask(method string, limit time.Duration, in, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	pool := rpc.NewPool(rpc.PoolConfig{DialTimeout: limit})
+	defer pool.Close()
+	conn, err := pool.Dial(ctx, p.addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return conn.Invoke(ctx, method, codec.Encoding{}, in, out)
+}
+
+func (p *process) status() (rawStatus, error) {
+	var out rawStatus
+	err := p.ask("control/status", 500*time.Millisecond, &struct{}{}, &out)
+	return out, err
+}
+
+// change returns a valid change whose files differ for each identifier.
+func change(id string, from uint64) controlplane.Change {
+	text := fmt.Sprintf("; %s\n[service registry]\ntimeout = %dms\n\n[route registry GET /grades]\n\n[domain d1]\nregion = delta\n", id, 1000+from%1000)
+	return controlplane.Change{ID: id, Version: from, Base: overlay.File{Name: "base.ini", Data: []byte(text)}}
+}
+
+// applyDecided sends a change until it is accepted or conflicts.
+func applyDecided(c *controlplane.Client, ch controlplane.Change) (controlplane.ApplyReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		r := c.Apply(ctx, ch)
+		switch r.State {
+		case controlplane.ApplyAccepted, controlplane.ApplyConflict:
+			return r, nil
+		case controlplane.ApplyInvalid:
+			return r, fmt.Errorf("change %s: %v", ch.ID, r.Problems)
+		}
+	}
+	return controlplane.ApplyReply{}, fmt.Errorf("change %s was not decided", ch.ID)
+}
+
+// applyMany makes n changes from version from on.
+func (c *cluster) applyMany(cl *controlplane.Client, prefix string, from uint64, n int) uint64 {
+	c.t.Helper()
+	for i := range n {
+		r, err := applyDecided(cl, change(fmt.Sprintf("%s-%d", prefix, i), from))
+		if err != nil || r.State != controlplane.ApplyAccepted {
+			c.t.Fatalf("%s-%d from %d: %v %+v", prefix, i, from, err, r)
+		}
+		from = r.Version
+	}
+	return from
+}
+
+// confirmed returns the version that a quorum confirms.
+func confirmed(cl *controlplane.Client) uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	v, _, err := cl.Confirmed(ctx)
+	if err != nil {
+		return 0
+	}
+	return v
+}
--- /dev/null
+++ b/cmd/mulberrycontrol/partition_test.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+)
+
+// Guards against a leader that a partition leaves in the minority and that goes
+// on answering, or shows what it took alone as accepted. The cases cut both
+// directions or one of them.
+func TestMinorityLeader(t *testing.T) {
+	cases := []struct {
+		name    string
+		in, out bool
+	}{{"both", true, true}, {"in", true, false}, {"out", false, true}}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRelay(t)
+			c := newCluster(t, r.front)
+			old := c.leader()
+			rest := c.others(old)
+			v := c.applyMany(c.client(), "before", 0, 3)
+			begin := time.Now()
+			if tc.out {
+				r.cut(old, rest...)
+			}
+			if tc.in {
+				for _, p := range rest {
+					r.cut(p, old)
+				}
+			}
+			alone := make(chan rawApply, 1)
+			go func() { alone <- old.applyDirect(change("alone", v)) }()
+			for time.Since(begin) < electionTimeout {
+				time.Sleep(20 * time.Millisecond)
+			}
+			for range 5 {
+				checkSilenced(t, old)
+			}
+			fresh := c.leader(rest...)
+			t.Logf("cut=%s new_leader_ms=%d", tc.name, time.Since(begin).Milliseconds())
+			want := c.applyMany(c.client(fresh), "after", v, 3)
+			checkSilenced(t, old)
+			if got := <-alone; got.Status == controlplane.StatusCommitted {
+				t.Errorf("change of the minority was answered: %+v", got)
+			}
+			r.heal()
+			until(t, "old leader has the accepted version", func() bool {
+				st, err := old.status()
+				return err == nil && st.Version == want
+			})
+			checkNeverAccepted(t, c, "alone")
+		})
+	}
+}
+
+type rawApply struct {
+	Status controlplane.Status     `cbor:"z"`
+	State  controlplane.ApplyState `cbor:"s"`
+}
+
+// applyDirect sends a change to exactly this host. A lost answer is reported as
+// indeterminate.
+func (p *process) applyDirect(ch controlplane.Change) rawApply {
+	in := struct {
+		ID      string `cbor:"i"`
+		Version uint64 `cbor:"v"`
+		Base    any    `cbor:"b"`
+	}{ch.ID, ch.Version, ch.Base}
+	out := rawApply{}
+	if err := p.ask("control/apply", waitLimit, &in, &out); err != nil {
+		out.Status = controlplane.StatusIndeterminate
+	}
+	return out
+}
+
+func checkSilenced(t *testing.T, p *process) {
+	t.Helper()
+	if st, err := p.status(); err == nil && st.Self {
+		t.Errorf("%s answers as leader in the minority", p.name)
+	}
+	var out rawConfirmed
+	if err := p.ask("control/confirmed", 3*time.Second, &struct{}{}, &out); err == nil && out.Status == controlplane.StatusCommitted {
+		t.Errorf("%s confirms version %d in the minority", p.name, out.Version)
+	}
+}
+
+func checkNeverAccepted(t *testing.T, c *cluster, id string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	changes, err := c.client().History(ctx, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, ch := range changes {
+		if ch.ID == id && ch.Accepted {
+			t.Errorf("change %s of the minority is in the history as version %d", id, ch.Version)
+		}
+	}
+}
--- a/cmd/mulberrycontrol/run.go
+++ b/cmd/mulberrycontrol/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -57,6 +58,7 @@
 		Domain:  cfg.Control.Domain,
 		Log:     st.log,
 		Machine: machine,
+		Group:   quorumGroup{host: st.host},
 		Now:     time.Now,
 		Observe: func(method, outcome string) {
 			metrics.GetOrRegisterCounter(method+"."+outcome, reg).Inc(1)
@@ -89,6 +91,7 @@
 	go func() { failed <- h.admin.serve() }()
 	go func() { failed <- h.rpc.Serve(rpcCtx, lis) }()
 	h.log.Info().Str("rpc", h.cfg.Listen.RPC).Str("admin", h.cfg.Listen.Admin).Str("version", version).Msg("control host started")
+	h.logIdentity()
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
@@ -97,6 +100,17 @@
 	return err
 }
 
+// logIdentity shows the identity that an operator needs to add a blank host.
+func (h *host) logIdentity() {
+	who := quorumGroup{host: h.store.host}.Identity()
+	e := h.log.Info().Str("identity", fmt.Sprintf("%016x", who.ID)).Bool("blank", who.Blank)
+	if who.Blank {
+		e.Msg("data directory is new; this host takes no part until it is added with mulberryctl members add")
+		return
+	}
+	e.Msg("data directory holds a member")
+}
+
 // stop hands leadership over, finishes the calls in progress and ends the
 // listeners.
 func (h *host) stop(endRPC func()) {
--- a/cmd/mulberrycontrol/settings.go
+++ b/cmd/mulberrycontrol/settings.go
@@ -96,8 +96,8 @@
 	return all, nil
 }
 
-// memberID derives the identity in the control log from the name. A replaced
-// host gets a new name and so a new identity.
+// memberID derives the identity of a first member from its name. A host that is
+// added later has a random identity.
 func memberID(name string) uint64 { return xxhash.Sum64String(name) }
 
 func (c *controlSettings) self() member {
--- a/cmd/mulberrycontrol/store.go
+++ b/cmd/mulberrycontrol/store.go
@@ -59,8 +59,13 @@
 	s.links.Close()
 }
 
-// format writes the identity of a first member to its data directory.
+// format writes the identity of a first member to its data directory. It
+// refuses when another member answers that the group exists: this host then
+// lost its directory, and under its old identity it could vote twice.
 func format(cfg controlSettings) error {
+	if err := checkUnformed(cfg); err != nil {
+		return err
+	}
 	var members []quorum.Member
 	for _, m := range cfg.members {
 		members = append(members, quorum.Member{ID: m.id, Addr: m.addr})
@@ -72,6 +77,24 @@
 	return errors.Wrapf(err, "format data directory %s", cfg.Control.Data)
 }
 
+func checkUnformed(cfg controlSettings) error {
+	pool := rpc.NewPool(rpc.PoolConfig{DialTimeout: linkDialTimeout})
+	defer pool.Close()
+	client := controlplane.NewClient(pool, nil)
+	for _, m := range cfg.members {
+		if m.name == cfg.Control.Name {
+			continue
+		}
+		who, err := client.Identity(context.Background(), m.addr)
+		if err == nil && who.Formed {
+			return errors.Newf("control host %s at %s answers that the cluster is already formed; data directory %s was not changed: "+
+				"start this host with \"mulberrycontrol run\" and add it with \"mulberryctl members add --control %s --name %s --addr %s\"",
+				m.name, m.addr, cfg.Control.Data, m.addr, cfg.Control.Name, cfg.self().addr)
+		}
+	}
+	return nil
+}
+
 // quorumLog makes a quorum.Host the log of a server.
 type quorumLog struct{ host *quorum.Host }
 
--- /dev/null
+++ b/cmd/mulberryctl/members.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+)
+
+// memberWait covers a snapshot of the largest state to the new member.
+const memberWait = 60 * time.Second
+
+func membersCommand() *cli.Command {
+	list := func(ctx context.Context, cmd *cli.Command) error {
+		return withClient(ctx, cmd, func(ctx context.Context, c *controlplane.Client) error {
+			return listMembers(ctx, cmd, c)
+		})
+	}
+	return &cli.Command{
+		Name:         "members",
+		Usage:        "show, add and remove control hosts",
+		Description:  "Without a word it lists them.\n\nExample:\n  mulberryctl members --control 127.0.0.1:9001",
+		Flags:        optionalControl(),
+		ArgValidator: noArguments,
+		Action:       list,
+		Commands: []*cli.Command{
+			{
+				Name: "list", Usage: "show the control hosts",
+				Description: "Example:\n  mulberryctl members list --control 127.0.0.1:9001",
+				Flags:       controlFlags(), Action: list, OnUsageError: usageError, ArgValidator: noArguments,
+			},
+			addMemberCommand(), removeMemberCommand(),
+		},
+	}
+}
+
+// optionalControl returns the flags of a command whose subcommands name the
+// control hosts themselves.
+func optionalControl() []cli.Flag {
+	flags := controlFlags()
+	for _, f := range flags {
+		switch f := f.(type) {
+		case *cli.StringFlag:
+			f.Required, f.Local = false, true
+		case *cli.DurationFlag:
+			f.Local = true
+		}
+	}
+	return flags
+}
+
+func changeFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "control", Usage: "`ADDR[,ADDR]` of the control hosts", Required: true},
+		&cli.DurationFlag{Name: "wait", Usage: "how long to try", Value: memberWait},
+	}, more...)
+}
+
+func addMemberCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "add",
+		Usage: "add a blank control host and wait until it has its vote",
+		Description: "The host must run with an empty data directory and without init. Its name and\n" +
+			"identity are in its log and in mulberryctl status --control HOST:PORT.\n\n" +
+			"Example:\n  mulberryctl members add --control 127.0.0.1:9001 --name c3 --addr 127.0.0.1:9003",
+		Flags: changeFlags(
+			&cli.StringFlag{Name: "name", Usage: "`NAME` in the settings of the host", Required: true},
+			&cli.StringFlag{Name: "addr", Usage: "`HOST:PORT` of the host", Required: true},
+			&cli.StringFlag{Name: "id", Usage: "`IDENTITY` that the host must have"},
+		),
+		OnUsageError: usageError,
+		ArgValidator: noArguments,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return withClient(ctx, cmd, func(ctx context.Context, c *controlplane.Client) error {
+				return addMember(ctx, cmd, c)
+			})
+		},
+	}
+}
+
+func removeMemberCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "remove",
+		Usage:       "remove a control host",
+		Description: "Example:\n  mulberryctl members remove --control 127.0.0.1:9001 --id 1f3a5b7c9d0e2f46",
+		Flags: changeFlags(
+			&cli.StringFlag{Name: "id", Usage: "`IDENTITY` that members list shows", Required: true},
+		),
+		OnUsageError: usageError,
+		ArgValidator: noArguments,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return withClient(ctx, cmd, func(ctx context.Context, c *controlplane.Client) error {
+				return removeMember(ctx, cmd, c)
+			})
+		},
+	}
+}
+
+func listMembers(ctx context.Context, cmd *cli.Command, c *controlplane.Client) error {
+	if cmd.String("control") == "" {
+		return &exitError{code: exitUsage, text: "--control is required"}
+	}
+	members, err := c.Members(ctx)
+	if err != nil {
+		return unavailable(cmd, err)
+	}
+	for _, m := range members {
+		name, answers := "", false
+		if who, err := c.Identity(ctx, m.Addr); err == nil {
+			name, answers = who.Host, who.ID == m.ID
+		}
+		line(cmd, "member", identity(m.ID), "name", name, "addr", m.Addr, "leader", m.Leader,
+			"learner", m.Learner, "self", m.Self, "answers", answers)
+	}
+	return nil
+}
+
+// addMember asks the host for its identity, so that exactly the host that the
+// operator means is added.
+func addMember(ctx context.Context, cmd *cli.Command, c *controlplane.Client) error {
+	addr, name := cmd.String("addr"), cmd.String("name")
+	who, err := c.Identity(ctx, addr)
+	if err != nil {
+		return showMember(cmd, "added", 0, addr, refusedMember(controlplane.MemberUnreachable, err.Error()))
+	}
+	if want := cmd.String("id"); who.Host != name || want != "" && want != identity(who.ID) {
+		return showMember(cmd, "added", who.ID, addr, refusedMember(controlplane.MemberName,
+			fmt.Sprintf("the host has name %s and identity %s", who.Host, identity(who.ID))))
+	}
+	if !who.Blank && !isMember(ctx, c, who.ID, addr) {
+		return showMember(cmd, "added", who.ID, addr, refusedMember(controlplane.MemberNotBlank,
+			"the data directory of the host holds the state of another member"))
+	}
+	res, err := c.AddMember(ctx, who.ID, addr)
+	if err != nil {
+		return unavailable(cmd, err)
+	}
+	return showMember(cmd, "added", who.ID, addr, res)
+}
+
+// isMember reports whether the host is one already, as after a repeated add.
+func isMember(ctx context.Context, c *controlplane.Client, id uint64, addr string) bool {
+	members, err := c.Members(ctx)
+	if err != nil {
+		return false
+	}
+	for _, m := range members {
+		if m.ID == id && m.Addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
+func removeMember(ctx context.Context, cmd *cli.Command, c *controlplane.Client) error {
+	id, err := strconv.ParseUint(cmd.String("id"), 16, 64)
+	if err != nil || id == 0 {
+		return &exitError{code: exitUsage, text: "--id is not an identity of 16 hexadecimal digits"}
+	}
+	members, err := c.Members(ctx)
+	if err != nil {
+		return unavailable(cmd, err)
+	}
+	addr := ""
+	for _, m := range members {
+		if m.ID == id {
+			addr = m.Addr
+		}
+	}
+	if addr == "" {
+		return showMember(cmd, "removed", id, addr, refusedMember(controlplane.MemberMissing, "no member has this identity"))
+	}
+	res, err := c.RemoveMember(ctx, id)
+	if err != nil {
+		return unavailable(cmd, err)
+	}
+	return showMember(cmd, "removed", id, addr, res)
+}
+
+func refusedMember(r controlplane.MemberReason, text string) controlplane.MemberResult {
+	return controlplane.MemberResult{State: controlplane.MemberRefused, Reason: r, Text: text}
+}
+
+// showMember prints the outcome. A refused change has the exit code of a
+// conflict, and one that is still under way that of an unavailable host.
+func showMember(cmd *cli.Command, done string, id uint64, addr string, r controlplane.MemberResult) error {
+	switch r.State {
+	case controlplane.MemberDone:
+		line(cmd, "outcome", done, "member", identity(id), "addr", addr)
+		return nil
+	case controlplane.MemberWaiting:
+		line(cmd, "outcome", r.State, "reason", r.Reason, "member", identity(id), "addr", addr, "text", r.Text)
+		return &exitError{code: exitUnavailable}
+	default:
+		line(cmd, "outcome", r.State, "reason", r.Reason, "member", identity(id), "addr", addr, "text", r.Text)
+		return &exitError{code: exitConflict}
+	}
+}
+
+// identity returns the form of an identity in logs and output.
+func identity(id uint64) string { return fmt.Sprintf("%016x", id) }
--- a/cmd/mulberryctl/show.go
+++ b/cmd/mulberryctl/show.go
@@ -32,7 +32,7 @@
 		return unavailable(cmd, err)
 	}
 	line(cmd, "host", s.Host, "domain", s.Domain, "leading", s.Leading, "leader", s.Leader,
-		"version", s.Version, "claims", s.Claims, "nodes", len(s.Nodes))
+		"identity", identity(s.ID), "blank", s.Blank, "version", s.Version, "claims", s.Claims, "nodes", len(s.Nodes))
 	for _, n := range s.Nodes {
 		line(cmd, "node", n.Name, "domain", n.Domain, "service", n.Service, "version", n.Version,
 			"state", n.State, "upstream", n.Upstream, "inflight", n.Load.InFlight, "limit", n.Load.Limit,
@@ -92,24 +92,3 @@
 	}
 	return nil
 }
-
-func membersCommand() *cli.Command {
-	return &cli.Command{
-		Name:        "members",
-		Usage:       "show the control hosts",
-		Description: "Example:\n  mulberryctl members --control 127.0.0.1:9001",
-		Flags:       controlFlags(),
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			return withClient(ctx, cmd, func(ctx context.Context, c *controlplane.Client) error {
-				members, err := c.Members(ctx)
-				if err != nil {
-					return unavailable(cmd, err)
-				}
-				for _, m := range members {
-					line(cmd, "member", m.ID, "addr", m.Addr, "leader", m.Leader, "learner", m.Learner, "self", m.Self)
-				}
-				return nil
-			})
-		},
-	}
-}
--- a/coordination/quorum/config.go
+++ b/coordination/quorum/config.go
@@ -37,8 +37,13 @@
 	// before it was known to be committed. The call may be repeated.
 	ErrIndeterminate = errors.New("leadership ended before the change was committed")
 
+	// ErrBusy means that another change of the membership is under way.
+	ErrBusy = errors.New("another change of the membership is under way")
+	// ErrQuorum means that the change would leave too few voters that answer.
+	ErrQuorum = errors.New("the change would endanger the quorum")
+
 	errNotLeader = ErrNotLeader
-	errBusy      = errors.New("another change of the membership is under way")
+	errBusy      = ErrBusy
 )
 
 // Machine is the state machine that the log drives. Its methods are called
--- a/coordination/quorum/members.go
+++ b/coordination/quorum/members.go
@@ -170,7 +170,7 @@
 	}
 	keep := slices.DeleteFunc(slices.Clone(c.members()), func(m Member) bool { return m.ID == id })
 	if alive, voters := c.aliveVoters(keep); alive <= voters/2 {
-		return errors.Newf("without member %016x only %d of %d voters would answer", id, alive, voters)
+		return errors.Wrapf(ErrQuorum, "without member %016x only %d of %d voters would answer", id, alive, voters)
 	}
 	return c.changeMembers(keep)
 }
--- a/coordination/quorum/status.go
+++ b/coordination/quorum/status.go
@@ -20,6 +20,9 @@
 	Learners map[uint64]uint64
 	// Voting tells whether this member takes part in elections.
 	Voting bool
+	// Silent is a voter that has to be removed before another one is added, or
+	// 0; only a leader knows it.
+	Silent uint64
 	// Err is why it stopped taking part: a disk error or Stop.
 	Err error
 }
@@ -34,6 +37,9 @@
 		Commit: c.commit, Applied: h.applied, Members: c.members(),
 		Voting: h.failed == nil && c.isVoter(c.id), Err: h.failed,
 	}
+	if c.role == Leader {
+		st.Silent = c.silentVoter()
+	}
 	for _, m := range st.Members {
 		if p := c.peers[m.ID]; m.Learner && p != nil {
 			if st.Learners == nil {
--- a/protocol/controlplane/client_operator.go
+++ b/protocol/controlplane/client_operator.go
@@ -68,6 +68,10 @@
 	Host    string
 	Domain  string
 	Leading bool
+	// ID is the identity of the host's data directory.
+	ID uint64
+	// Blank is true for a host that waits until it is added as a member.
+	Blank bool
 	// Leader is the address of the leader that the host knows.
 	Leader  string
 	Version uint64
@@ -109,6 +113,8 @@
 		Host:    out.Host,
 		Domain:  out.Domain,
 		Leading: out.Self,
+		ID:      out.ID,
+		Blank:   out.Blank,
 		Leader:  out.Leader,
 		Version: out.Version,
 		Claims:  out.Claims,
@@ -119,7 +125,8 @@
 	return s, nil
 }
 
-// History returns up to limit of the latest changes, newest first.
+// History returns up to limit of the latest changes, newest first, as a quorum
+// confirms them.
 func (c *Client) History(ctx context.Context, limit int) ([]control.Change, error) {
 	out, status := call[historyReply](ctx, c, methodHistory, &historyRequest{Limit: limit})
 	if status != StatusCommitted {
--- a/protocol/controlplane/server.go
+++ b/protocol/controlplane/server.go
@@ -31,6 +31,8 @@
 	Log    Log
 	// Machine is the state machine that Log applies commands to.
 	Machine *control.Machine
+	// Group changes the members of Log. It may be nil when the log has one host.
+	Group Group
 	// Now is the clock of the host.
 	Now func() time.Time
 	// Observe is called with the method and the outcome word of each call. It
@@ -89,6 +91,9 @@
 		methodStatus:    unary(s, methodStatus, s.status),
 		methodHistory:   unary(s, methodHistory, s.history),
 		methodMembers:   unary(s, methodMembers, s.members),
+		methodIdentity:  unary(s, methodIdentity, s.identity),
+		methodAdd:       unary(s, methodAdd, s.addMember),
+		methodRemove:    unary(s, methodRemove, s.removeMember),
 	}
 }
 
--- a/protocol/controlplane/server_operator.go
+++ b/protocol/controlplane/server_operator.go
@@ -19,6 +19,9 @@
 	maxSourceBytes = 1 << 20
 	// maxChangeID is the longest change identifier in bytes.
 	maxChangeID = 128
+	// confirmTimeout bounds the confirmation of status; it is below the client's
+	// tryTimeout.
+	confirmTimeout = 300 * time.Millisecond
 	// maxHistory is the largest number of changes in one reply.
 	maxHistory = 1_000
 )
@@ -97,28 +100,52 @@
 	return xxhash.Sum64(b)
 }
 
-func (s *Server) status(_ context.Context, _ *emptyRequest) *statusReply {
+// status shows a host as leading only when a quorum confirms it: a host that
+// was stopped for longer than the election timeout still believes that it leads.
+func (s *Server) status(ctx context.Context, _ *emptyRequest) *statusReply {
 	_, addr, self := s.cfg.Log.Leader()
+	self = self && s.confirm(ctx)
 	cur, _ := s.cfg.Machine.Current()
+	who := s.who()
 	return &statusReply{
 		replyHead: replyHead{Leader: addr},
 		Host:      s.cfg.Name,
 		Domain:    s.cfg.Domain,
 		Self:      self,
+		ID:        who.ID,
+		Blank:     who.Blank,
 		Version:   cur.Version,
 		Claims:    s.cfg.Machine.Claims(),
 		Nodes:     s.reports.list(s.cfg.Now()),
 	}
 }
 
-func (s *Server) history(_ context.Context, in *historyRequest) *historyReply {
+// confirm reports whether a quorum confirms what this host has applied.
+func (s *Server) confirm(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return s.cfg.Log.Confirm(ctx)
+}
+
+// history confirms the list of changes: a host that has just started knows
+// only a part of it. The files of one version never change.
+func (s *Server) history(ctx context.Context, in *historyRequest) *historyReply {
+	if s.who().Blank {
+		return &historyReply{replyHead: s.refusal(StatusNotLeader)}
+	}
 	if in.Version > 0 {
 		return &historyReply{Files: s.cfg.Machine.Sources(in.Version)}
 	}
+	if !s.confirm(ctx) {
+		return &historyReply{replyHead: s.refusal(StatusUnavailable)}
+	}
 	return &historyReply{Changes: s.cfg.Machine.History(min(in.Limit, maxHistory))}
 }
 
 func (s *Server) members(_ context.Context, _ *emptyRequest) *membersReply {
+	if s.who().Blank {
+		return &membersReply{replyHead: s.refusal(StatusNotLeader)}
+	}
 	return &membersReply{Members: s.cfg.Log.Members()}
 }
 
--- a/protocol/controlplane/wire.go
+++ b/protocol/controlplane/wire.go
@@ -17,6 +17,9 @@
 	methodStatus    = "control/status"
 	methodHistory   = "control/history"
 	methodMembers   = "control/members"
+	methodIdentity  = "control/identity"
+	methodAdd       = "control/addmember"
+	methodRemove    = "control/removemember"
 )
 
 // replyHead begins every reply.
@@ -103,6 +106,8 @@
 	Domain  string          `cbor:"d"`
 	Self    bool            `cbor:"s"`
 	Version uint64          `cbor:"v"`
+	ID      uint64          `cbor:"i,omitempty"`
+	Blank   bool            `cbor:"b,omitempty"`
 	Claims  int             `cbor:"c"`
 	Nodes   []reportRequest `cbor:"n,omitempty"`
 }
@@ -122,3 +127,23 @@
 	replyHead
 	Members []Member `cbor:"m"`
 }
+
+type identityReply struct {
+	replyHead
+	Host   string `cbor:"h"`
+	ID     uint64 `cbor:"i"`
+	Blank  bool   `cbor:"b,omitempty"`
+	Formed bool   `cbor:"f,omitempty"`
+	Voting bool   `cbor:"v,omitempty"`
+}
+
+// memberRequest asks to add (ID, Addr) or to remove ID.
+type memberRequest struct {
+	ID   uint64 `cbor:"i"`
+	Addr string `cbor:"a,omitempty"`
+}
+
+type memberReply struct {
+	replyHead
+	Result MemberResult `cbor:"r"`
+}
