--- a/cmd/mulberrybench/deployment/up.go
+++ b/cmd/mulberrybench/deployment/up.go
@@ -76,10 +76,13 @@
 func (d *Deployment) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
+	// A control host refuses to be initialised once the others have a leader.
 	for i := range d.Units {
 		if err := d.initialize(ctx, d.Units[i]); err != nil {
 			return err
 		}
+	}
+	for i := range d.Units {
 		if err := d.launch(&d.Units[i]); err != nil {
 			return err
 		}
--- a/cmd/mulberrycontrol/group.go
+++ b/cmd/mulberrycontrol/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,9 +21,34 @@
 	}
 }
 
-// Add refuses at once what the log would leave waiting: a learner that may get
-// no vote before a silent voter is removed.
+// memberPoll is how often a refused change is tried again within one call: a
+// new leader counts a voter as silent until it has answered for the first time.
+const memberPoll = 20 * time.Millisecond
+
+// settle repeats a change until it is not refused for a silent voter, or ctx is
+// about to end.
+func settle(ctx context.Context, change func() (controlplane.MemberResult, controlplane.Status)) (controlplane.MemberResult, controlplane.Status) {
+	for {
+		res, status := change()
+		waits := res.Reason == controlplane.MemberSilent || res.Reason == controlplane.MemberQuorum
+		if res.State != controlplane.MemberRefused || !waits {
+			return res, status
+		}
+		select {
+		case <-ctx.Done():
+			return res, status
+		case <-time.After(memberPoll):
+		}
+	}
+}
+
+// Add refuses what the log would leave waiting: a learner that may get no vote
+// before a silent voter is removed.
 func (g quorumGroup) Add(ctx context.Context, id uint64, addr string) (controlplane.MemberResult, controlplane.Status) {
+	return settle(ctx, func() (controlplane.MemberResult, controlplane.Status) { return g.add(ctx, id, addr) })
+}
+
+func (g quorumGroup) add(ctx context.Context, id uint64, addr string) (controlplane.MemberResult, controlplane.Status) {
 	st := g.host.Status()
 	if st.Role != quorum.Leader {
 		return controlplane.MemberResult{}, controlplane.StatusNotLeader
@@ -63,6 +89,10 @@
 // Remove also accepts an identity that is already gone, because the first
 // answer may have been lost.
 func (g quorumGroup) Remove(ctx context.Context, id uint64) (controlplane.MemberResult, controlplane.Status) {
+	return settle(ctx, func() (controlplane.MemberResult, controlplane.Status) { return g.remove(ctx, id) })
+}
+
+func (g quorumGroup) remove(ctx context.Context, id uint64) (controlplane.MemberResult, controlplane.Status) {
 	st := g.host.Status()
 	if st.Role != quorum.Leader {
 		return controlplane.MemberResult{}, controlplane.StatusNotLeader
--- a/cmd/mulberrycontrol/main_test.go
+++ b/cmd/mulberrycontrol/main_test.go
@@ -265,6 +265,7 @@
 			return r, nil
 		case controlplane.ApplyInvalid:
 			return r, fmt.Errorf("change %s: %v", ch.ID, r.Problems)
+		case controlplane.ApplyUnavailable, controlplane.ApplyIndeterminate: // sent again
 		}
 	}
 	return controlplane.ApplyReply{}, fmt.Errorf("change %s was not decided", ch.ID)
--- a/cmd/mulberryctl/ctl_test.go
+++ b/cmd/mulberryctl/ctl_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,3 +85,32 @@
 		}
 	}
 }
+
+// Guards against a reason of members add and remove that explain does not know.
+func TestEveryMemberReasonIsExplained(t *testing.T) {
+	for r := controlplane.MemberNoReason; r <= controlplane.MemberUnsupported; r++ {
+		if int(r) >= len(memberReasons) || memberReasons[r] == "" {
+			t.Errorf("reason %s has no explanation", r)
+		}
+	}
+}
+
+// Guards against an operations page that lacks a reason or explains it
+// differently from explain.
+func TestOperationsPageHasEveryReason(t *testing.T) {
+	data, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	has := func(name, text string) {
+		if !strings.Contains(string(data), "\n| "+name+" | "+text+" |\n") {
+			t.Errorf("docs/operations.md lacks the row | %s | %s |", name, text)
+		}
+	}
+	for _, r := range mulberrylink.Reasons() {
+		has(r.String(), reasons[r])
+	}
+	for r, text := range memberReasons {
+		has(controlplane.MemberReason(r).String(), text)
+	}
+}
--- a/cmd/mulberryctl/members.go
+++ b/cmd/mulberryctl/members.go
@@ -158,7 +158,7 @@
 
 func removeMember(ctx context.Context, cmd *cli.Command, c *controlplane.Client) error {
 	id, err := strconv.ParseUint(cmd.String("id"), 16, 64)
-	if err != nil || id == 0 {
+	if err != nil || id == 0 || len(cmd.String("id")) != len(identity(id)) {
 		return &exitError{code: exitUsage, text: "--id is not an identity of 16 hexadecimal digits"}
 	}
 	members, err := c.Members(ctx)
--- a/coordination/quorum/core.go
+++ b/coordination/quorum/core.go
@@ -21,7 +21,7 @@
 	commitAnyTerm  bool // commit entries of earlier terms by counting
 	forgetVote     bool // grant a second vote in a term
 	skipTermCheck  bool // skip the log comparison in elections
-	changeAnyCount bool // allow several membership changes at a time
+	changeAnyCount bool // allow several membership changes at a time, and before peers have answered
 }
 
 // core is the algorithm as a step function. Its inputs are the methods tick,
--- a/coordination/quorum/members.go
+++ b/coordination/quorum/members.go
@@ -131,16 +131,10 @@
 // time, and the leader first commits an entry of its own term: otherwise two
 // leaders could use memberships without a common majority.
 func (c *core) changeMembers(members []Member) error {
-	switch {
-	case c.role != Leader:
-		return errNotLeader
-	case c.commit < c.termStart && !c.hooks.changeAnyCount:
-		return errBusy
-	case c.views[len(c.views)-1].index > c.commit && !c.hooks.changeAnyCount:
-		return errBusy
-	case c.transferTo != 0:
-		return errBusy
-	case !slices.ContainsFunc(members, func(m Member) bool { return !m.Learner }):
+	if err := c.mayChange(); err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(members, func(m Member) bool { return !m.Learner }) {
 		return errors.New("a group needs at least one voting member")
 	}
 	data, err := encodeMembers(members)
@@ -151,6 +145,21 @@
 	return nil
 }
 
+// mayChange returns why no change of the membership may start now, or nil.
+func (c *core) mayChange() error {
+	switch {
+	case c.role != Leader:
+		return errNotLeader
+	case c.transferTo != 0:
+		return errBusy
+	case c.hooks.changeAnyCount:
+		return nil
+	case c.commit < c.termStart || c.views[len(c.views)-1].index > c.commit:
+		return errBusy
+	}
+	return nil
+}
+
 // addMember adds a learner.
 func (c *core) addMember(m Member) error {
 	if m.ID == 0 {
@@ -168,6 +177,9 @@
 	if _, ok := c.member(id); !ok {
 		return errors.Newf("member %016x does not exist", id)
 	}
+	if err := c.mayChange(); err != nil {
+		return err
+	}
 	keep := slices.DeleteFunc(slices.Clone(c.members()), func(m Member) bool { return m.ID == id })
 	if alive, voters := c.aliveVoters(keep); alive <= voters/2 {
 		return errors.Wrapf(ErrQuorum, "without member %016x only %d of %d voters would answer", id, alive, voters)
@@ -220,10 +232,12 @@
 	return alive, voters
 }
 
-// alive reports whether a member answered the leader recently.
+// alive reports whether a member answered the leader recently. The grace that a
+// new leader gives its peers does not count: a change of the members within it
+// would take a lost voter for a live one.
 func (c *core) alive(id uint64) bool {
 	p := c.peers[id]
-	return id == c.id || p != nil && c.now.Sub(p.heard) < c.timing.electionMin
+	return id == c.id || p != nil && (p.answered || c.hooks.changeAnyCount) && c.now.Sub(p.heard) < c.timing.electionMin
 }
 
 // membersCommitted acts on a committed change: a leader that is no longer a
--- /dev/null
+++ b/coordination/quorum/members_test.go
@@ -0,0 +1,36 @@
+package quorum
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// Guards against a new leader that takes a lost voter for a live one, because
+// its check-quorum clock starts at the election, and changes the membership so
+// that the group depends on the lost voter.
+func TestUnansweredVoterIsNotAlive(t *testing.T) {
+	is := is.New(t)
+	c := newTestLeader(t, hooks{})
+	ack(c, 3)
+	for id, p := range c.peers {
+		is.Equal(c.alive(id), p.answered)
+	}
+	unheard := 0
+	for id := range c.peers {
+		if !c.alive(id) {
+			unheard++
+		}
+	}
+	is.True(unheard > 0)
+	blind := newTestLeader(t, hooks{changeAnyCount: true})
+	for id := range blind.peers {
+		is.True(blind.alive(id)) // the rule switched off
+	}
+	for _, p := range c.peers {
+		p.answered = false
+	}
+	is.True(errors.Is(c.removeMember(5), ErrQuorum))
+	is.True(c.silentVoter() != 0)
+}
--- a/coordination/quorum/replicate.go
+++ b/coordination/quorum/replicate.go
@@ -11,7 +11,10 @@
 	match uint64 // highest entry known to be synced there
 	next  uint64 // next entry to send
 	heard time.Time
-	read  uint64 // latest read that it confirmed
+	// answered is true once it has acknowledged something to this leader. A new
+	// leader counts heard from its election, before any answer.
+	answered bool
+	read     uint64 // latest read that it confirmed
 
 	snapIndex  uint64 // snapshot being sent, 0 when none
 	snapOffset uint64
@@ -168,7 +171,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.heard = c.now
+	p.heard, p.answered = c.now, true
 	p.read = max(p.read, m.Read)
 	c.confirmReads()
 	if m.Reject {
--- a/coordination/quorum/snapshot.go
+++ b/coordination/quorum/snapshot.go
@@ -117,7 +117,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.heard = c.now
+	p.heard, p.answered = c.now, true
 	p.read = max(p.read, m.Read)
 	c.confirmReads()
 	if p.snapIndex == 0 || m.Index != p.snapIndex || m.Index != c.snapshot.Index {
