--- /dev/null
+++ b/cmd/mulberrycontrol/listener_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// Guards against a peer that stops reading and holds its stream for ever.
+func TestWriteToSilentPeerEnds(t *testing.T) {
+	is := is.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer lis.Close()
+	peer, err := net.Dial("tcp", lis.Addr().String()) // never reads
+	is.NoErr(err)
+	defer peer.Close()
+	conn, err := boundedListener{Listener: lis, limit: 200 * time.Millisecond}.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	failed := make(chan error, 1)
+	go func() {
+		for part := make([]byte, 1<<20); ; {
+			if _, err := conn.Write(part); err != nil {
+				failed <- err
+				return
+			}
+		}
+	}()
+	select {
+	case err := <-failed:
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+	case <-time.After(waitLimit):
+		t.Fatal("the write did not end")
+	}
+}
--- a/cmd/mulberrycontrol/run.go
+++ b/cmd/mulberrycontrol/run.go
@@ -89,7 +89,7 @@
 	defer endRPC()
 	failed := make(chan error, 2)
 	go func() { failed <- h.admin.serve() }()
-	go func() { failed <- h.rpc.Serve(rpcCtx, lis) }()
+	go func() { failed <- h.rpc.Serve(rpcCtx, boundedListener{Listener: lis, limit: writeTimeout}) }()
 	h.log.Info().Str("rpc", h.cfg.Listen.RPC).Str("admin", h.cfg.Listen.Admin).Str("version", version).Msg("control host started")
 	h.logIdentity()
 	select {
