--- a/cmd/mulberrynode/admit.go
+++ b/cmd/mulberrynode/admit.go
@@ -31,7 +31,6 @@
 	backend  *backend.Backend
 	claims   answerRecorder // nil without control hosts
 	suspects *suspects
-	down     func() // called when the upstream refuses connections
 	stats    *stats
 	busy     sync.WaitGroup // answers being recorded
 }
@@ -56,6 +55,7 @@
 	if t == nil {
 		return a.refused(reason)
 	}
+	waited := time.Since(start)
 	admitted()
 	sent := *r
 	if r.Body == nil {
@@ -64,9 +64,6 @@
 		sent.Body = &sentReader{Reader: r.Body, sent: t.Sent}
 	}
 	res := a.backend.Do(ctx, &sent)
-	if res.Refused {
-		a.down()
-	}
 	if res.Outcome != mulberrylink.Answered {
 		t.Done(admission.Completion{Class: classOf(res)})
 		if res.Outcome == mulberrylink.Unknown && r.Keyed {
@@ -75,7 +72,7 @@
 		return res.Result
 	}
 	t.Responded()
-	us := time.Since(start).Microseconds()
+	us := max((waited + res.Took).Microseconds(), 1)
 	res.Answer.Header.Set(front.HeaderTook, strconv.FormatInt(us, 10))
 	a.hold(ctx, r, res.Answer, func(complete bool) {
 		t.Done(admission.Completion{Class: answerClass(res.Answer.Status, complete)})
