--- /dev/null
+++ b/protocol/controlplane/confirm_test.go
@@ -0,0 +1,33 @@
+package controlplane_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mulberrylink/mulberrylink/coordination/control"
+	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
+)
+
+// unconfirmedLog believes that it leads, and no quorum confirms it.
+type unconfirmedLog struct{ *controlplane.Local }
+
+func (unconfirmedLog) Confirm(context.Context) bool { return false }
+
+// Guards against a host that shows operators itself as leading, or an old list
+// of changes, without a quorum.
+func TestUnconfirmedHostDoesNotAnswerAsLeader(t *testing.T) {
+	is := is.New(t)
+	c := client(t, serve(t, func(m *control.Machine) controlplane.Log {
+		return unconfirmedLog{controlplane.NewLocal("", m)}
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s, err := c.Status(ctx)
+	is.NoErr(err)
+	is.True(!s.Leading)
+	_, err = c.History(ctx, 10)
+	is.True(err != nil)
+}
