Print falls, p99 over all requests and the lost share in compare

A policy that refuses or fails fast had a short p99 over answered requests. New keys are at the end of the lines.

--- a/cmd/mulberrybench/compare/compare_test.go
+++ b/cmd/mulberrybench/compare/compare_test.go
@@ -23,7 +23,7 @@
 			h := hdrhistogram.New(1, 1e8, 3)
 			is.NoErr(h.RecordValue(us))
 			r := result{cell: cell{Site: "association", Policy: policy, Scenario: "slowdown", Load: 90, Seed: uint64(i)}}
-			r.Total, r.Goodput = load.RouteReport{Micros: h}, float64(2000-us)
+			r.Total, r.Goodput = load.RouteReport{Micros: h, All: h}, float64(2000-us)
 			all = append(all, r)
 		}
 	}
@@ -32,6 +32,7 @@
 	lines := summary(groups)
 	last := lines[len(lines)-1]
 	is.True(strings.Contains(last, "p99=0.5ms best=twochoices bestp99=1.5ms ratio=3.00"))
+	is.True(strings.Contains(last, "p99all=0.5ms bestp99all=1.5ms"))
 	path, err := writeReport(t.TempDir(), groups, DefaultGrid())
 	is.NoErr(err)
 	text, err := os.ReadFile(path)
--- a/cmd/mulberrybench/compare/run.go
+++ b/cmd/mulberrybench/compare/run.go
@@ -40,14 +40,18 @@
 	Goodput float64
 	// Probes is the probes that one upstream answered per second.
 	Probes float64
+	// Falls is how often upstreams got more work in a cold start than they
+	// could handle.
+	Falls int
 }
 
 // String returns the line of the cell.
 func (r result) String() string {
-	return fmt.Sprintf("policy=%s scenario=%s load=%d seed=%d p50=%.1fms p99=%.1fms p999=%.1fms goodput=%.1f untrue=%d duplicates=%d probes=%.2f site=%s sent=%d notrun=%d unknown=%d failed=%d missed=%d wrong=%d",
+	return fmt.Sprintf("policy=%s scenario=%s load=%d seed=%d p50=%.1fms p99=%.1fms p999=%.1fms goodput=%.1f untrue=%d duplicates=%d probes=%.2f site=%s sent=%d notrun=%d unknown=%d failed=%d missed=%d wrong=%d falls=%d p99all=%.1fms lost=%.4f",
 		r.Policy, r.Scenario, r.Load, r.Seed, r.Total.Quantile(50), r.Total.Quantile(99), r.Total.Quantile(99.9),
 		r.Goodput, r.Verdict.Untrue, r.Verdict.Duplicates, r.Probes,
-		r.Site, r.Total.Sent, r.Total.NotRun, r.Total.Unknown, r.Total.Failed, r.Total.Missed, r.Verdict.Wrong)
+		r.Site, r.Total.Sent, r.Total.NotRun, r.Total.Unknown, r.Total.Failed, r.Total.Missed, r.Verdict.Wrong,
+		r.Falls, r.Total.QuantileAll(99), r.Total.Lost())
 }
 
 // Run runs the grid, prints a line for each cell and a summary, and writes the
@@ -149,7 +153,7 @@
 		Seed: c.schedule(), Rate: capacity * float64(c.Load) / 100, For: g.Warm + g.For, Mix: mix,
 	})
 	gen := load.New(load.Options{Entries: d.Fronts(), Cap: inFlight, Timeout: timeout, Warm: g.Warm})
-	before := probes(ctx, d)
+	before, fell := probes(ctx, d), falls(ctx, d)
 	begin := time.Now()
 	injected := make(chan error, 1)
 	go func() { injected <- f.inject(ctx, c.Scenario, begin.Add(g.Warm), g.For) }()
@@ -165,6 +169,7 @@
 	r.Goodput = float64(r.Total.Answered) / g.For.Seconds()
 	upstreams := float64(len(d.OfKind(deployment.KindUpstream)))
 	r.Probes = float64(probes(ctx, d)-before) / rep.Took.Seconds() / upstreams
+	r.Falls = fell.added(falls(ctx, d))
 	return r, nil
 }
 
@@ -198,6 +203,32 @@
 	return some
 }
 
+// fallCounts are the falls of each upstream process by its address.
+type fallCounts map[string]int
+
+func falls(ctx context.Context, d *deployment.Deployment) fallCounts {
+	counts := make(fallCounts)
+	for _, u := range d.OfKind(deployment.KindUpstream) {
+		if s, err := deployment.UpstreamStats(ctx, u.Addr); err == nil {
+			counts[u.Addr] = s.Falls
+		}
+	}
+	return counts
+}
+
+// added returns the falls since before. A count below the earlier one is that
+// of a restarted process.
+func (before fallCounts) added(after fallCounts) int {
+	sum := 0
+	for addr, n := range after {
+		if n >= before[addr] {
+			n -= before[addr]
+		}
+		sum += n
+	}
+	return sum
+}
+
 // probes returns what measuring has cost so far: requests to the endpoints of
 // upstreams and load probes between nodes. An upstream that was restarted counts
 // from zero, so that the difference is a lower bound in that case.
--- a/cmd/mulberrybench/load/generator.go
+++ b/cmd/mulberrybench/load/generator.go
@@ -57,7 +57,7 @@
 
 // Run sends the shots at their times and returns when all answers are in.
 func (g *Generator) Run(ctx context.Context, mix []Route, shots []Shot) *Report {
-	g.report = newReport(mix, g.opt.Warm)
+	g.report = newReport(mix, g.opt.Warm, g.opt.Timeout)
 	begin := time.Now()
 	defer g.client.CloseIdleConnections()
 	for _, s := range shots {
@@ -82,9 +82,7 @@
 func (g *Generator) miss(s Shot) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s.At >= g.opt.Warm {
-		g.report.Routes[s.Route].Missed++
-	}
+	g.report.miss(s)
 }
 
 // run is one caller: it tries other nodes when one takes no work, and sends a
--- a/cmd/mulberrybench/load/report.go
+++ b/cmd/mulberrybench/load/report.go
@@ -33,6 +33,10 @@
 	Reasons map[string]int
 	// Micros holds latencies of answered requests, from the intended start.
 	Micros *hdrhistogram.Histogram
+	// All holds the latencies of all requests; one that was refused, failed,
+	// ended as unknown or was missed counts with the timeout of its caller, so
+	// that failing fast does not look like a short latency.
+	All *hdrhistogram.Histogram
 }
 
 // Report is the result of a run.
@@ -42,6 +46,7 @@
 	Calls []Call
 	Took  time.Duration
 	warm  time.Duration
+	limit time.Duration // timeout of a caller
 	last  time.Duration // latest intended start
 }
 
@@ -49,10 +54,10 @@
 	return hdrhistogram.New(lowestMicros, highestMicros, digits)
 }
 
-func newReport(mix []Route, warm time.Duration) *Report {
-	rep := &Report{warm: warm}
+func newReport(mix []Route, warm, limit time.Duration) *Report {
+	rep := &Report{warm: warm, limit: limit}
 	for _, r := range mix {
-		rep.Routes = append(rep.Routes, RouteReport{Route: r, Reasons: make(map[string]int), Micros: newHistogram()})
+		rep.Routes = append(rep.Routes, RouteReport{Route: r, Reasons: make(map[string]int), Micros: newHistogram(), All: newHistogram()})
 	}
 	return rep
 }
@@ -71,11 +76,12 @@
 			r.Wrong++
 		}
 	}
+	took := rep.limit
 	switch first.Outcome {
 	case Answered:
 		r.Answered++
-		// Values above the range are recorded as its end.
-		_ = r.Micros.RecordValue(min(first.End.Sub(c.Start).Microseconds(), highestMicros))
+		took = first.End.Sub(c.Start)
+		record(r.Micros, took)
 	case Failed:
 		r.Failed++
 	case NotRun:
@@ -84,14 +90,30 @@
 		r.Unknown++
 	case Wrong:
 	}
+	record(r.All, took)
 	if first.Reason != "" {
 		r.Reasons[first.Reason]++
 	}
 }
 
+// record counts a value above the range as its end.
+func record(h *hdrhistogram.Histogram, took time.Duration) {
+	_ = h.RecordValue(min(took.Microseconds(), highestMicros))
+}
+
+// miss counts a shot that was not sent.
+func (rep *Report) miss(s Shot) {
+	if s.At < rep.warm {
+		return
+	}
+	r := &rep.Routes[s.Route]
+	r.Missed++
+	record(r.All, rep.limit)
+}
+
 // Total returns the sum over all routes.
 func (rep *Report) Total() RouteReport {
-	t := RouteReport{Route: Route{Service: "all"}, Reasons: make(map[string]int), Micros: newHistogram()}
+	t := RouteReport{Route: Route{Service: "all"}, Reasons: make(map[string]int), Micros: newHistogram(), All: newHistogram()}
 	for _, r := range rep.Routes {
 		t.Sent += r.Sent
 		t.Answered += r.Answered
@@ -105,6 +127,7 @@
 			t.Reasons[k] += n
 		}
 		t.Micros.Merge(r.Micros)
+		t.All.Merge(r.All)
 	}
 	return t
 }
@@ -117,6 +140,19 @@
 	return float64(r.Micros.ValueAtQuantile(q)) / 1000
 }
 
+// QuantileAll returns a latency in milliseconds over all requests.
+func (r RouteReport) QuantileAll(q float64) float64 {
+	return float64(r.All.ValueAtQuantile(q)) / 1000
+}
+
+// Lost returns the share of requests that were not answered with status 2xx.
+func (r RouteReport) Lost() float64 {
+	if r.Sent+r.Missed == 0 {
+		return 0
+	}
+	return 1 - float64(r.Answered)/float64(r.Sent+r.Missed)
+}
+
 // String returns one line of key=value pairs.
 func (r RouteReport) String() string {
 	name := r.Route.Service
