Add scripted fault scenarios to mulberrybench

mulberrybench faults runs scenario files against real processes: kill, freeze, SIGTERM, drain, cold start, a failure domain taken out behind a relay that is cut, long uploads and a request that crashes upstreams. Verdicts come from the journals and from what callers were told. A short selection with fixed seeds runs as a Go test with programs built without the race detector.

--- a/cmd/mulberrybench/commands.go
+++ b/cmd/mulberrybench/commands.go
@@ -25,6 +25,7 @@
 		downCommand(),
 		demoCommand(),
 		compareCommand(),
+		faultsCommand(),
 		slopeCommand(),
 		loadCommand(),
 		upstreamCommand(),
--- /dev/null
+++ b/cmd/mulberrybench/deployment/find.go
@@ -0,0 +1,52 @@
+package deployment
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/journal"
+)
+
+// Find returns the named process.
+func (d *Deployment) Find(name string) (Unit, error) {
+	for _, u := range d.Units {
+		if u.Name == name {
+			return u, nil
+		}
+	}
+	return Unit{}, errors.Newf("no process %q", name)
+}
+
+// Signal sends sig to the named process.
+func (d *Deployment) Signal(name string, sig syscall.Signal) error {
+	u, err := d.Find(name)
+	if err != nil {
+		return err
+	}
+	return u.Signal(d.Run, sig)
+}
+
+// Leader returns the name of the control host that leads.
+func (d *Deployment) Leader(ctx context.Context) (string, error) {
+	cmd := exec.CommandContext(ctx, filepath.Join(d.Bin, "mulberryctl"), "status", "--control", d.controlAddrs())
+	out, err := cmd.Output()
+	if err != nil {
+		return "", errors.Wrap(err, "ask for the leader")
+	}
+	line, _, _ := strings.Cut(string(out), "\n")
+	v, err := journal.Fields(line)
+	if err != nil {
+		return "", errors.Wrap(err, "ask for the leader")
+	}
+	for _, u := range d.OfKind(KindControl) {
+		if u.Addr == v["leader"] || v["leading"] == "true" && u.Name == v["host"] {
+			return u.Name, nil
+		}
+	}
+	return "", errors.Newf("no control host leads: %q", line)
+}
--- a/cmd/mulberrybench/deployment/settings.go
+++ b/cmd/mulberrybench/deployment/settings.go
@@ -86,6 +86,11 @@
 	if err = errors.Join(err, paths); err != nil {
 		return u, err
 	}
+	if o.Edit != nil {
+		if err := o.Edit(u.Name, f); err != nil {
+			return u, err
+		}
+	}
 	return u, errors.Wrap(f.SaveTo(path), "write settings")
 }
 
--- a/cmd/mulberrybench/deployment/up.go
+++ b/cmd/mulberrybench/deployment/up.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
 )
 
 // Bounds of a start and a stop on a loaded machine.
@@ -32,6 +33,9 @@
 	Shift int
 	// Policy replaces the selection policy of the nodes when it is not empty.
 	Policy string
+	// Edit changes the settings of a process, already with the ports of this
+	// run, before it starts; nil changes nothing.
+	Edit func(name string, f *ini.File) error
 }
 
 // Deployment is a deployment that this process started.
--- /dev/null
+++ b/cmd/mulberrybench/faults/faults_test.go
@@ -0,0 +1,170 @@
+package faults
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/journal"
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/load"
+)
+
+// testShift keeps the ports apart from those of the command.
+const testShift = 9000
+
+// selection are the scenarios that run with the tests; mulberrybench faults
+// runs all.
+var selection = []string{"2-pair-entry-leader", "4-leave", "5-domain-cut", "6-crasher"}
+
+// Guards the invariants against the faults of the scenarios, with real
+// processes.
+func TestScenarios(t *testing.T) {
+	bin := build(t)
+	all, err := Embedded()
+	is.New(t).NoErr(err)
+	for _, name := range selection {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for _, s := range all {
+				if s.Name != name {
+					continue
+				}
+				var out strings.Builder
+				err := Run(t.Context(), &out, Options{Bin: bin, Config: "../../../config", Run: t.TempDir(), Shift: testShift}, s)
+				t.Log(out.String())
+				is.NoErr(err)
+				return
+			}
+			t.Fatal("no such scenario")
+		})
+	}
+}
+
+// build builds the programs without the race detector, which would slow
+// thirteen processes on one machine too much for their timeouts.
+func build(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	for _, p := range []string{"mulberrynode", "mulberrycontrol", "mulberryctl", "mulberrybench"} {
+		cmd := exec.CommandContext(t.Context(), "go", "build", "-o", filepath.Join(bin, p), ".")
+		cmd.Dir = filepath.Join("../..", p)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Fatalf("build %s: %v\n%s", p, err, out)
+		}
+	}
+	return bin
+}
+
+// Guards against mistyped scenarios that check nothing.
+func TestParseErrors(t *testing.T) {
+	for text, want := range map[string]string{
+		"load rate=1 for=1s\nexpect deathz<=1":                   `x.txt:2: unknown expectation "deathz<=1"`,
+		"load rate=1 for=1s\nat 1s kil a":                        `x.txt:2: unknown verb "kil"`,
+		"load rate=1 for=1s\nat 1s kill":                         `a step has the form`,
+		"load rate=9999 for=1s":                                  `rate must be from 0 to 2000`,
+		"load rate=1 for=1s\nexpect quiet d2 within 3s":          `has the form`,
+		"load rate=1 for=1s\nexpect quiet d2 within 3s after 2s": `no step at 2s`,
+		"expect wrong=0":                                         `no load`,
+		"lod rate=1":                                             `unknown statement "lod"`,
+	} {
+		_, err := Parse("x.txt", text)
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %s", text, err, want)
+		}
+	}
+}
+
+// Guards against a trace that passes although executions started too late,
+// too early or never.
+func TestTraceAndBounds(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("x.txt", "load rate=1 for=9s\nat 1s kill a\nexpect quiet keyed within 1s after 1s\nexpect work keyed within 1s after 1s\nexpect deaths<=2 falls=0 answered>=0.5")
+	is.NoErr(err)
+	begin := time.Now()
+	r := &run{script: s, out: &strings.Builder{}, done: map[time.Duration]time.Time{time.Second: begin.Add(time.Second)}}
+	lines := func(at ...time.Duration) (all []journal.Entry) {
+		for _, d := range at {
+			all = append(all, journal.Entry{Time: begin.Add(d), Key: "k"})
+		}
+		return all
+	}
+	quiet, work := s.Traces[0], s.Traces[1]
+	is.NoErr(r.checkTrace(quiet, lines(time.Second/2, 3*time.Second/2), begin))
+	is.True(r.checkTrace(quiet, lines(time.Second/2, 3*time.Second), begin) != nil) // too late
+	is.True(r.checkTrace(quiet, nil, begin) != nil)                                 // never worked
+	is.NoErr(r.checkTrace(work, lines(3*time.Second/2), begin))
+	is.True(r.checkTrace(work, lines(time.Second/2, 3*time.Second), begin) != nil) // too late
+	is.True(s.Bounds[0].holds(2) && !s.Bounds[0].holds(3))
+	is.True(s.Bounds[1].holds(0) && !s.Bounds[1].holds(1))
+	is.True(s.Bounds[2].holds(0.5) && !s.Bounds[2].holds(0.4))
+}
+
+// Guards against a resent request that counts as lost although a later send was
+// answered, and against shares of the wrong routes.
+func TestOutcomes(t *testing.T) {
+	is := is.New(t)
+	rep := &load.Report{Routes: []load.RouteReport{{}, {Route: load.Route{Keyed: true}}}}
+	add := func(route int, sends ...load.Send) {
+		rep.Calls = append(rep.Calls, load.Call{Shot: load.Shot{Route: route}, Sends: sends})
+	}
+	add(0, load.Send{Outcome: load.Answered})
+	add(1, load.Send{Outcome: load.Unknown}, load.Send{Outcome: load.Answered})
+	add(1, load.Send{Outcome: load.NotRun, Reason: "noquorum"})
+	add(0, load.Send{Outcome: load.Failed})
+	f := outcomes(rep)
+	is.Equal(f["answered"], 0.5)
+	is.Equal(f["lookups"], 0.5)
+	is.Equal(f["keyed"], 0.5)
+	is.Equal(f["notrun.noquorum"], 1.0)
+	is.Equal(f["failed"], 1.0)
+	is.Equal(f["unknown"], 0.0)
+}
+
+// Guards against a relay that passes bytes while it is cut, or loses those it
+// kept back.
+func TestRelayCut(t *testing.T) {
+	is := is.New(t)
+	var lc net.ListenConfig
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	got := make(chan string, 2)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		lines := bufio.NewScanner(c)
+		for lines.Scan() {
+			got <- lines.Text()
+		}
+	}()
+	l, err := newRelay(context.WithoutCancel(t.Context()), ln.Addr().String())
+	is.NoErr(err)
+	defer l.close()
+	var d net.Dialer
+	c, err := d.DialContext(t.Context(), "tcp", l.addr())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = c.Write([]byte("one\n"))
+	is.NoErr(err)
+	is.Equal(<-got, "one")
+	l.cut()
+	_, err = c.Write([]byte("two\n"))
+	is.NoErr(err)
+	select {
+	case text := <-got:
+		t.Fatalf("passed %q while cut", text)
+	case <-time.After(100 * time.Millisecond):
+	}
+	l.heal()
+	is.Equal(<-got, "two")
+}
--- /dev/null
+++ b/cmd/mulberrybench/faults/script.go
@@ -0,0 +1,242 @@
+package faults
+
+import (
+	"embed"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+//go:embed testdata/*.txt
+var embedded embed.FS
+
+// Limits of a scenario, so that a mistyped file does not load the machine.
+const (
+	maxRate = 2000
+	maxFor  = 2 * time.Minute
+)
+
+// Load describes the load of a scenario.
+type Load struct {
+	Rate    float64
+	For     time.Duration
+	Seed    uint64
+	Timeout time.Duration
+	// Cold starts the load as soon as the deployment is ready, without
+	// waiting for the end of the cold starts.
+	Cold bool
+}
+
+// Step is one action at a time.
+type Step struct {
+	At      time.Duration
+	Verb    string
+	Args    []string
+	Options map[string]string
+	Line    int
+}
+
+// Bound is one figure with its bound.
+type Bound struct {
+	Name  string
+	Op    string
+	Value float64
+	Line  int
+}
+
+// Trace is an expectation on when executions start.
+type Trace struct {
+	Kind   string // quiet or work
+	Target string
+	Within time.Duration
+	After  time.Duration // time of a step
+	Until  time.Duration // time of a step, 0 for the end of the load
+	Line   int
+}
+
+// Script is one parsed scenario.
+type Script struct {
+	Name   string
+	Load   Load
+	Relays []string
+	Steps  []Step
+	Bounds []Bound
+	Traces []Trace
+}
+
+// Embedded returns the scenarios that come with the program, by name.
+func Embedded() ([]Script, error) {
+	entries, err := embedded.ReadDir("testdata")
+	if err != nil {
+		return nil, errors.Wrap(err, "list scenarios")
+	}
+	var all []Script
+	for _, e := range entries {
+		text, err := embedded.ReadFile(path.Join("testdata", e.Name()))
+		if err != nil {
+			return nil, errors.Wrap(err, "read scenario")
+		}
+		s, err := Parse(e.Name(), string(text))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+// Parse parses a scenario; its name is that of the file without the suffix.
+func Parse(file, text string) (Script, error) {
+	s := Script{Name: strings.TrimSuffix(path.Base(file), ".txt")}
+	var problems []error
+	for i, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		if err := s.statement(words, i+1); err != nil {
+			problems = append(problems, errors.Wrapf(err, "%s:%d", file, i+1))
+		}
+	}
+	if s.Load.For == 0 {
+		problems = append(problems, errors.Newf("%s: no load", file))
+	}
+	problems = append(problems, s.checkTraces(file)...)
+	slices.SortStableFunc(s.Steps, func(a, b Step) int { return int(a.At - b.At) })
+	return s, errors.Join(problems...)
+}
+
+func (s *Script) statement(words []string, line int) error {
+	switch words[0] {
+	case "load":
+		return s.load(words[1:])
+	case "relay":
+		s.Relays = append(s.Relays, words[1:]...)
+		return nil
+	case "at":
+		return s.step(words[1:], line)
+	case "expect":
+		return s.expect(words[1:], line)
+	default:
+		return errors.Newf("unknown statement %q, known are load, relay, at, expect", words[0])
+	}
+}
+
+func (s *Script) load(words []string) error {
+	s.Load = Load{Seed: 1, Timeout: 3 * time.Second}
+	for _, w := range words {
+		key, value, _ := strings.Cut(w, "=")
+		var err error
+		switch key {
+		case "rate":
+			s.Load.Rate, err = strconv.ParseFloat(value, 64)
+		case "for":
+			s.Load.For, err = time.ParseDuration(value)
+		case "seed":
+			s.Load.Seed, err = strconv.ParseUint(value, 10, 32)
+		case "timeout":
+			s.Load.Timeout, err = time.ParseDuration(value)
+		case "start":
+			s.Load.Cold = value == "cold"
+		default:
+			err = errors.Newf("unknown key %q of load", key)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if l := s.Load; l.Rate <= 0 || l.Rate > maxRate || l.For <= 0 || l.For > maxFor || l.Timeout <= 0 {
+		return errors.Newf("rate must be from 0 to %d, for from 0 to %s, timeout above 0", maxRate, maxFor)
+	}
+	return nil
+}
+
+func (s *Script) step(words []string, line int) error {
+	if len(words) < 3 {
+		return errors.New("a step has the form: at TIME VERB TARGET")
+	}
+	at, err := time.ParseDuration(words[0])
+	if err != nil {
+		return err
+	}
+	step := Step{At: at, Verb: words[1], Options: make(map[string]string), Line: line}
+	if _, ok := verbs[step.Verb]; !ok {
+		return errors.Newf("unknown verb %q", step.Verb)
+	}
+	for _, w := range words[2:] {
+		if key, value, ok := strings.Cut(w, "="); ok {
+			step.Options[key] = value
+			continue
+		}
+		step.Args = append(step.Args, w)
+	}
+	if len(step.Args) == 0 {
+		return errors.Newf("%s needs a target", step.Verb)
+	}
+	s.Steps = append(s.Steps, step)
+	return nil
+}
+
+func (s *Script) expect(words []string, line int) error {
+	if len(words) > 0 && (words[0] == "quiet" || words[0] == "work") {
+		return s.trace(words, line)
+	}
+	for _, w := range words {
+		b := Bound{Line: line}
+		for _, op := range []string{">=", "<=", "="} {
+			if name, value, ok := strings.Cut(w, op); ok {
+				v, err := strconv.ParseFloat(value, 64)
+				if err != nil {
+					return errors.Wrapf(err, "bound of %q", name)
+				}
+				b.Name, b.Op, b.Value = name, op, v
+				break
+			}
+		}
+		if !slices.Contains(figureNames, b.Name) && !strings.HasPrefix(b.Name, "notrun.") {
+			return errors.Newf("unknown expectation %q, known are quiet, work, notrun.REASON, %s", w, strings.Join(figureNames, ", "))
+		}
+		s.Bounds = append(s.Bounds, b)
+	}
+	return nil
+}
+
+// trace parses: quiet TARGET within D after T [until T].
+func (s *Script) trace(words []string, line int) error {
+	if len(words) < 6 || len(words)%2 != 0 {
+		return errors.Newf("%s has the form: %s TARGET within TIME after TIME [until TIME]", words[0], words[0])
+	}
+	t := Trace{Kind: words[0], Target: words[1], Line: line}
+	times := map[string]*time.Duration{"within": &t.Within, "after": &t.After, "until": &t.Until}
+	for i := 2; i < len(words); i += 2 {
+		d, ok := times[words[i]]
+		if !ok {
+			return errors.Newf("unknown word %q, known are within, after, until", words[i])
+		}
+		var err error
+		if *d, err = time.ParseDuration(words[i+1]); err != nil {
+			return err
+		}
+	}
+	s.Traces = append(s.Traces, t)
+	return nil
+}
+
+// checkTraces checks that the times of traces are times of steps.
+func (s *Script) checkTraces(file string) []error {
+	var problems []error
+	for _, t := range s.Traces {
+		for _, at := range []time.Duration{t.After, t.Until} {
+			known := slices.ContainsFunc(s.Steps, func(st Step) bool { return st.At == at })
+			if !known && (at != 0 || t.After == 0) {
+				problems = append(problems, errors.Newf("%s:%d: no step at %s", file, t.Line, at))
+			}
+		}
+	}
+	return problems
+}
--- a/cmd/mulberrybench/upstream/announce.go
+++ b/cmd/mulberrybench/upstream/announce.go
@@ -83,7 +83,7 @@
 	if s.draining.Load() {
 		return stateDraining
 	}
-	if s.cold.active(time.Now()) && s.cfg.Cold.Announced {
+	if s.cold.active(time.Now()) && s.cfg.Cold.Announced && !s.silent.Load() {
 		return stateCold
 	}
 	return stateReady
--- a/cmd/mulberrybench/upstream/doc.go
+++ b/cmd/mulberrybench/upstream/doc.go
@@ -39,7 +39,8 @@
   POST /control/drain           announce draining (also on SIGUSR1)
   POST /control/undrain         announce ready again
   POST /control/slow            form factor=5 for=2s: multiply service times
-  POST /control/cold            return to cold start without a restart
+  POST /control/cold            return to cold start without a restart; with the
+                                form announced=false still announce ready
   POST /control/report          form load=true|idle|busy|random lag=2s health=true|up|down`
 
 // Settings are the settings of one simulated upstream.
--- a/cmd/mulberrybench/upstream/server.go
+++ b/cmd/mulberrybench/upstream/server.go
@@ -41,6 +41,7 @@
 	client   *http.Client
 	started  time.Time
 	draining atomic.Bool
+	silent   atomic.Bool  // announces ready while cold
 	open     atomic.Int64 // connections
 	runs     atomic.Int64
 	sheds    atomic.Int64
@@ -132,7 +133,7 @@
 	mux.HandleFunc("POST /control/drain", func(http.ResponseWriter, *http.Request) { s.drain() })
 	mux.HandleFunc("POST /control/undrain", func(http.ResponseWriter, *http.Request) { s.draining.Store(false) })
 	mux.HandleFunc("POST /control/slow", s.serveSlow)
-	mux.HandleFunc("POST /control/cold", func(http.ResponseWriter, *http.Request) { s.cold.restart(time.Now()) })
+	mux.HandleFunc("POST /control/cold", s.serveCold)
 	mux.HandleFunc("POST /control/report", s.serveReport)
 	mux.HandleFunc("/", s.serveRequest)
 	return mux
@@ -199,6 +200,11 @@
 	s.work.slow(factor, time.Now().Add(length))
 }
 
+func (s *Server) serveCold(_ http.ResponseWriter, r *http.Request) {
+	s.silent.Store(r.FormValue("announced") == "false")
+	s.cold.restart(time.Now())
+}
+
 func (s *Server) serveReport(w http.ResponseWriter, r *http.Request) {
 	if err := s.report.set(r.FormValue("load"), r.FormValue("health"), r.FormValue("lag")); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
