Send more keyed requests in fault scenarios and name lost entry nodes

At the site's mix a killed node had a tenth of a keyed request in flight, so the scenarios could not show a duplicate. A load may now name the share of keyed requests and their service time.

--- a/cmd/mulberrybench/faults/doc.go
+++ b/cmd/mulberrybench/faults/doc.go
@@ -13,6 +13,7 @@
 // Times of steps count from the start of the load.
 //
 //	load rate=150 for=12s seed=3 [start=cold] [timeout=3s]
+//	     [keyed=0.8] [service=100ms]        share of keyed requests, service time of all
 //	relay node-archive-1                    its control hosts are reached through a relay
 //	at 2s kill control leader               SIGKILL; also stop, continue, term, restart
 //	at 3s cut node-archive-1                the relay falls silent; heal ends it
@@ -37,7 +38,9 @@
 // answered with status 2xx in the end; failed counts answers with another
 // status, unknown and notrun requests that ended so, and notrun.REASON sends
 // refused for that reason; falls counts upstreams that got more work in a cold
-// start than they handle; deaths counts upstreams that ended on their own.
+// start than they handle; entrylost counts requests that ended without an answer
+// because the scenario killed or froze their entry node, and which are not part
+// of the shares; deaths counts upstreams that ended on their own.
 //
 // Every scenario fails on a duplicate, an untrue refusal, a phantom or a wrong
 // answer, also without an expect line.
--- a/cmd/mulberrybench/faults/judge.go
+++ b/cmd/mulberrybench/faults/judge.go
@@ -18,13 +18,13 @@
 // notrun.REASON.
 var figureNames = []string{
 	"duplicates", "untrue", "phantoms", "wrong",
-	"answered", "lookups", "keyed", "failed", "unknown", "notrun", "falls", "deaths",
+	"answered", "lookups", "keyed", "failed", "unknown", "notrun", "falls", "deaths", "entrylost",
 }
 
 // judge checks the outcome against the expectations.
 func (r *run) judge(ctx context.Context, rep *load.Report, lines []journal.Entry, begin time.Time) {
 	v := load.Check(rep, lines)
-	figures := outcomes(rep)
+	figures := outcomes(rep, r.hit)
 	figures["duplicates"], figures["untrue"] = float64(v.Duplicates), float64(v.Untrue)
 	figures["phantoms"], figures["wrong"] = float64(v.Phantoms), float64(v.Wrong)
 	figures["falls"], figures["deaths"] = r.countUpstreams(ctx)
@@ -47,11 +47,24 @@
 	}
 }
 
-// outcomes returns the figures of what callers were told in the end.
-func outcomes(rep *load.Report) map[string]float64 {
+// lostEntry reports whether the caller got no answer from an entry node that
+// the scenario killed or froze.
+func lostEntry(s load.Send, hit map[string]bool) bool {
+	return s.Outcome == load.Unknown && s.Reason == "broken" && hit[s.Entry]
+}
+
+// outcomes returns the figures of what callers were told in the end. hit holds
+// the addresses of the entry nodes that the scenario killed or froze. A request
+// that ended without an answer from one of them counts as entrylost and not in
+// the shares: its caller did not send it to another node.
+func outcomes(rep *load.Report, hit map[string]bool) map[string]float64 {
 	figures := make(map[string]float64)
 	sent := make(map[string]float64)
 	for _, c := range rep.Calls {
+		if lostEntry(c.Last(), hit) {
+			figures["entrylost"]++
+			continue
+		}
 		kind := "lookups"
 		if rep.Routes[c.Route].Route.Keyed {
 			kind = "keyed"
--- a/cmd/mulberrybench/faults/run.go
+++ b/cmd/mulberrybench/faults/run.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/deployment"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/journal"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/load"
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/upstream"
 )
 
 const (
@@ -52,6 +53,7 @@
 	relays map[string][]*relay
 	roles  map[string]string
 	down   map[string]bool // processes that the scenario ended
+	hit    map[string]bool // addresses of nodes that it killed or froze
 	falls  int             // of upstreams that the scenario killed
 	done   map[time.Duration]time.Time
 	tasks  sync.WaitGroup
@@ -76,7 +78,7 @@
 	}
 	r := &run{
 		Options: o, script: s, out: out, config: filepath.Join(o.Run, "config"),
-		relays: make(map[string][]*relay), down: make(map[string]bool), done: make(map[time.Duration]time.Time),
+		relays: make(map[string][]*relay), down: make(map[string]bool), hit: make(map[string]bool), done: make(map[time.Duration]time.Time),
 	}
 	defer r.closeRelays()
 	if err := r.up(ctx); err != nil {
@@ -155,9 +157,13 @@
 	}
 	l := r.script.Load
 	_, weight := spec.Capacity()
-	mix := load.Mix(weight)
+	mix := keyedShare(load.Mix(weight), l.Keyed)
+	header := make(map[string]string)
+	if l.Service > 0 {
+		header[upstream.HeaderServiceTime] = l.Service.String()
+	}
 	shots := load.Schedule(load.Plan{Seed: l.Seed, Rate: l.Rate, For: l.For, Mix: mix})
-	g := load.New(load.Options{Entries: r.d.Fronts(), Cap: inFlight, Timeout: l.Timeout, Repeat: repeat})
+	g := load.New(load.Options{Entries: r.d.Fronts(), Cap: inFlight, Timeout: l.Timeout, Repeat: repeat, Header: header})
 	begin := time.Now()
 	r.tasks.Go(func() { r.steps(ctx, begin) })
 	rep := g.Run(ctx, mix, shots)
@@ -171,6 +177,26 @@
 	return nil
 }
 
+// keyedShare gives keyed routes the share of all requests, so that a fault
+// meets several keyed requests in flight.
+func keyedShare(mix []load.Route, share float64) []load.Route {
+	if share == 0 {
+		return mix
+	}
+	sum := make(map[bool]float64)
+	for _, m := range mix {
+		sum[m.Keyed] += m.Weight
+	}
+	for i, m := range mix {
+		part := 1 - share
+		if m.Keyed {
+			part = share
+		}
+		mix[i].Weight *= part / sum[m.Keyed]
+	}
+	return mix
+}
+
 // steps runs the steps at their times. A step that fails is a fault, because
 // the scenario then shows nothing.
 func (r *run) steps(ctx context.Context, begin time.Time) {
