--- a/cmd/mulberrybench/faults/judge.go
+++ b/cmd/mulberrybench/faults/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,7 +19,7 @@
 // notrun.REASON.
 var figureNames = []string{
 	"duplicates", "untrue", "phantoms", "wrong",
-	"answered", "lookups", "keyed", "failed", "unknown", "notrun", "falls", "deaths", "entrylost",
+	"answered", "lookups", "keyed", "failed", "unknown", "notrun", "falls", "deaths", "entrylost", "lostlookups",
 }
 
 // judge checks the outcome against the expectations.
@@ -83,6 +84,9 @@
 			figures["notrun"]++
 		default:
 			figures["unknown"]++
+			if rep.Routes[c.Route].Route.Method == http.MethodGet {
+				figures["lostlookups"]++
+			}
 		}
 	}
 	for name, n := range sent {
--- a/cmd/mulberrybench/faults/run.go
+++ b/cmd/mulberrybench/faults/run.go
@@ -25,6 +25,11 @@
 	inFlight = 2000
 	// repeat is every how many answered keyed requests one is sent again.
 	repeat = 10
+	// The load before that of the scenario; its seed is above the 32 bits of
+	// the seeds of scenarios.
+	warmSeed  = 1 << 40
+	warmShare = 0.3
+	warmFor   = 3 * time.Second
 	// settle lets executions of requests that were given up reach the journal.
 	settle = 300 * time.Millisecond
 )
@@ -104,7 +109,7 @@
 	}
 	err = deployment.CopyConfig(dir, r.config)
 	if err == nil && !r.script.Load.Cold {
-		err = r.d.WaitAllWarm(ctx)
+		err = r.warm(ctx)
 	}
 	if err != nil {
 		return errors.Join(err, r.stop(context.WithoutCancel(ctx)))
@@ -112,6 +117,23 @@
 	return nil
 }
 
+// warm waits for the end of the cold starts and sends a light load, so that the
+// limits of the nodes have grown before the load of the scenario.
+func (r *run) warm(ctx context.Context) error {
+	if err := r.d.WaitAllWarm(ctx); err != nil {
+		return err
+	}
+	spec, err := deployment.ReadSpec(filepath.Join(r.Config, site))
+	if err != nil {
+		return err
+	}
+	capacity, weight := spec.Capacity()
+	mix := load.Mix(weight)
+	shots := load.Schedule(load.Plan{Seed: warmSeed, Rate: capacity * warmShare, For: warmFor, Mix: mix})
+	load.New(load.Options{Entries: r.d.Fronts(), Cap: inFlight, Timeout: r.script.Load.Timeout}).Run(ctx, mix, shots)
+	return nil
+}
+
 // interpose puts relays between a node and its control hosts when the scenario
 // asks for it.
 func (r *run) interpose(ctx context.Context, name string, f *ini.File) error {
