--- a/cmd/mulberrybench/faults/doc.go
+++ b/cmd/mulberrybench/faults/doc.go
@@ -40,8 +40,9 @@
 // refused for that reason; falls counts upstreams that got more work in a cold
 // start than they handle; entrylost counts requests that ended without an answer
 // because the scenario killed or froze their entry node, and which are not part
-// of the shares; lostlookups counts GET requests that ended as unknown, although
-// they may be run again; deaths counts upstreams that ended on their own.
+// of the shares; lostlookups counts GET requests that ended as unknown, and
+// innocents those that were in flight when an upstream died and are not answered
+// either when their caller sends them again; deaths counts upstreams that ended on their own.
 //
 // Every scenario fails on a duplicate, an untrue refusal, a phantom or a wrong
 // answer, also without an expect line.
--- a/cmd/mulberrybench/faults/judge.go
+++ b/cmd/mulberrybench/faults/judge.go
@@ -19,15 +19,16 @@
 // notrun.REASON.
 var figureNames = []string{
 	"duplicates", "untrue", "phantoms", "wrong",
-	"answered", "lookups", "keyed", "failed", "unknown", "notrun", "falls", "deaths", "entrylost", "lostlookups",
+	"answered", "lookups", "keyed", "failed", "unknown", "notrun", "falls", "deaths", "entrylost", "lostlookups", "innocents",
 }
 
 // judge checks the outcome against the expectations.
-func (r *run) judge(ctx context.Context, rep *load.Report, lines []journal.Entry, begin time.Time) {
+func (r *run) judge(ctx context.Context, rep *load.Report, lines []journal.Entry, begin time.Time, innocents int) {
 	v := load.Check(rep, lines)
 	figures := outcomes(rep, r.hit)
 	figures["duplicates"], figures["untrue"] = float64(v.Duplicates), float64(v.Untrue)
 	figures["phantoms"], figures["wrong"] = float64(v.Phantoms), float64(v.Wrong)
+	figures["innocents"] = float64(innocents)
 	figures["falls"], figures["deaths"] = r.countUpstreams(ctx)
 	r.print("%s", rep.Total())
 	var text []string
--- a/cmd/mulberrybench/faults/run.go
+++ b/cmd/mulberrybench/faults/run.go
@@ -195,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	r.judge(ctx, rep, lines, begin)
+	r.judge(ctx, rep, lines, begin, r.resend(ctx, rep, header))
 	return nil
 }
 
--- a/cmd/mulberrybench/faults/traffic.go
+++ b/cmd/mulberrybench/faults/traffic.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/deployment"
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/load"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/upstream"
 )
 
@@ -22,8 +23,8 @@
 // uploadChunk is the size of one write of an upload in bytes.
 const uploadChunk = 64 << 10
 
-// crashTimeout bounds one send of a crashing request.
-const crashTimeout = 5 * time.Second
+// askTimeout bounds one send of a lookup.
+const askTimeout = 5 * time.Second
 
 // startUpload sends a long upload beside the load. The scenario fails unless
 // it is answered whole by the upstream that the step names.
@@ -115,6 +116,28 @@
 	return n, nil
 }
 
+// resend sends each lookup that was in flight when an upstream died and ended as
+// unknown again, as its caller does, and returns how many are still not
+// answered. A lookup that crashed nothing must not stay a suspect.
+func (r *run) resend(ctx context.Context, rep *load.Report, header map[string]string) int {
+	lost, failed := 0, 0
+	for i, c := range rep.Calls {
+		route := rep.Routes[c.Route].Route
+		if route.Method != http.MethodGet || c.Last().Outcome != load.Unknown || c.Last().Reason != "crashed" {
+			continue
+		}
+		lost++
+		entries := r.d.Fronts()
+		told := ask(ctx, route.Service, entries[i%len(entries)], c.Target(route), c.Token, header)
+		if told != "200//" {
+			failed++
+			r.print("step=resend token=%s told=%s", c.Token, told)
+		}
+	}
+	r.print("step=resent lookups=%d unanswered=%d", lost, failed)
+	return failed
+}
+
 // startCrash sends the same crashing request again and again, each time to
 // another node, as its caller does.
 func (r *run) startCrash(ctx context.Context, s Step) error {
@@ -137,17 +160,25 @@
 	return nil
 }
 
-// crash returns what the caller is told.
+// crash returns what the caller of a crashing request is told.
 func crash(ctx context.Context, service, entry string) string {
-	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
+	return ask(ctx, service, entry, "/grades?id=crash", "crash", map[string]string{upstream.HeaderCrash: "true"})
+}
+
+// ask sends a lookup and returns status, outcome and reason.
+func ask(ctx context.Context, service, entry, target, token string, header map[string]string) string {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/grades?id=crash", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+target, nil)
 	if err != nil {
 		return "error"
 	}
 	req.Host = service
-	req.Header.Set("Upstream-Crash", "true")
+	req.Header.Set(upstream.HeaderToken, token)
 	req.Header.Set("Mulberry-Timeout", "3000")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return "broken"
