--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -54,20 +54,27 @@
 	Addr string
 	// Connections is the largest number of connections, 0 for no limit.
 	Connections int
+	// Incarnation differs after each start of the upstream, 0 when it is not
+	// announced.
+	Incarnation uint64
 }
 
 // Config sets up a Backend.
 type Config struct {
 	// Died is called with the fingerprints in flight when the upstream died,
-	// before any of their callers gets its result. It may be nil.
+	// before any of their callers gets its result. Use can call it. It may be
+	// nil and must not call the Backend.
 	Died func(prints []uint64)
+	// Down is called when the target refuses connections or died. It may be
+	// nil.
+	Down func(t Target)
 }
 
 // Result is what became of one request and how long the upstream took.
 type Result struct {
 	mulberrylink.Result
-	// Took is the time from the first attempt to connect to the header of
-	// the answer.
+	// Took is the time from the last byte of the request, or of its header
+	// when the body is streamed, to the first byte of the answer.
 	Took time.Duration
 	// Refused is true when the upstream refused the connection.
 	Refused bool
@@ -98,8 +105,9 @@
 }
 
 // Use makes t the target of later requests. Requests in flight are not
-// disturbed.
+// disturbed. A new incarnation shows that the one before died or stopped.
 func (b *Backend) Use(t Target) {
+	b.deaths.begin(t.Incarnation, b.cfg.Died)
 	old := b.target.Load()
 	if old != nil && old.target == t {
 		return
--- a/transport/backend/do.go
+++ b/transport/backend/do.go
@@ -28,8 +28,8 @@
 		return Result{Result: notRun(mulberrylink.ReasonNoUpstream)}
 	}
 	flight := b.deaths.enter(r.Print)
-	res := b.once(ctx, c, r)
-	res.Took = time.Since(start)
+	res := b.once(ctx, c, r, &flight.written)
+	res.Took = flight.written.wait(r, start)
 	if res.Outcome != mulberrylink.Answered {
 		b.failed(c, flight, &res)
 		b.deaths.leave(flight)
@@ -49,8 +49,7 @@
 	cut bool // the connection ended without an answer
 }
 
-func (b *Backend) once(ctx context.Context, c *client, r *mulberrylink.Request) try {
-	var w written
+func (b *Backend) once(ctx context.Context, c *client, r *mulberrylink.Request, w *written) try {
 	body := newBody(r)
 	req, err := newRequest(httptrace.WithClientTrace(ctx, w.trace()), c, r, body)
 	if err != nil {
@@ -58,7 +57,7 @@
 	}
 	resp, err := c.service.DoRequest(req)
 	if err != nil {
-		return classify(ctx, err, &w, body)
+		return classify(ctx, err, w, body)
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == "true" {
 		_, _ = io.CopyN(io.Discard, resp.Body, bufferBytes)
@@ -159,17 +158,46 @@
 	mu     sync.Mutex
 	conn   *countedConn
 	before int64
+	// Times of one request on its connection.
+	head, whole, answer time.Time
 }
 
 func (w *written) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if c, ok := info.Conn.(*countedConn); ok {
-			w.conn = c
-			w.before = c.written.Load()
-		}
-	}}
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if c, ok := info.Conn.(*countedConn); ok {
+				w.conn = c
+				w.before = c.written.Load()
+			}
+		},
+		WroteHeaders:         func() { w.stamp(&w.head) },
+		WroteRequest:         func(httptrace.WroteRequestInfo) { w.stamp(&w.whole) },
+		GotFirstResponseByte: func() { w.stamp(&w.answer) },
+	}
+}
+
+func (w *written) stamp(at *time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	*at = time.Now()
+}
+
+// wait returns how long the upstream let the node wait for the first byte of
+// its answer. The time of a streamed body is the caller's or the upstream's and
+// not the node's, so it counts as well. Without an answer it is the whole time.
+func (w *written) wait(r *mulberrylink.Request, start time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	from := w.whole
+	if r.Body != nil && r.Replay == nil || from.IsZero() {
+		from = w.head
+	}
+	if w.answer.IsZero() || from.IsZero() {
+		return time.Since(start)
+	}
+	return max(w.answer.Sub(from), 0)
 }
 
 func (w *written) none() bool {
--- a/transport/front/serve.go
+++ b/transport/front/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,8 +41,11 @@
 			f.cfg.Done(ev)
 		}
 	}()
-	if reason := f.refusal(); reason != mulberrylink.ReasonNone {
+	if reason := f.refusal(h.Context()); reason != mulberrylink.ReasonNone {
 		ev.Reason = reason
+		if reason == mulberrylink.ReasonBusy || reason == mulberrylink.ReasonLeaving {
+			w.Header().Set("Connection", "close") // the next request goes elsewhere
+		}
 		ev.Status = f.report(w, mulberrylink.Result{Outcome: mulberrylink.NotRun, Reason: reason})
 		return
 	}
@@ -68,7 +72,10 @@
 	return time.Duration(us) * time.Microsecond
 }
 
-func (f *Front) refusal() mulberrylink.Reason {
+func (f *Front) refusal(ctx context.Context) mulberrylink.Reason {
+	if ctx.Value(overLimit{}) != nil {
+		return mulberrylink.ReasonBusy
+	}
 	if f.cfg.Refuse == nil {
 		return mulberrylink.ReasonNone
 	}
@@ -181,10 +188,16 @@
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// copyBuffers saves an allocation of 32 KiB for each answer, which was a third
+// of the bytes allocated.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
 // copyBody sends what has arrived at once when the length is not known,
 // because the upstream may be sending piece by piece.
 func copyBody(w http.ResponseWriter, a *mulberrylink.Answer) error {
-	buf := make([]byte, copyBytes)
+	held, _ := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(held)
+	buf := held[:]
 	flush := http.NewResponseController(w)
 	for {
 		n, err := a.Body.Read(buf)
