--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -81,6 +81,7 @@
 		slots = min(slots, conns)
 	}
 	g.limit.setSlots(slots)
+	g.limit.said = state == mulberrylink.UpstreamCold
 	if fresh || back {
 		g.limit.forget()
 		g.backoff.clear()
@@ -214,7 +215,7 @@
 	case g.state == mulberrylink.UpstreamDraining:
 		return mulberrylink.ReasonDraining
 	case g.backoff.holds(now):
-		return mulberrylink.ReasonConnect
+		return g.backoff.reason
 	default:
 		return mulberrylink.ReasonNone
 	}
--- a/coordination/admission/limiter.go
+++ b/coordination/admission/limiter.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/mulberrylink/mulberrylink"
 )
 
 // Constants of the limit. Latencies are compared as logarithms, because service
@@ -25,6 +27,9 @@
 	shedFactor   = 0.7
 	coldPatience = 2  // limit's worths of completions per step in a cold start
 	maxPatience  = 32 // after repeated cuts
+	saidPatience = 16 // while the upstream itself says that it is cold
+
+	failuresInStart = 3 // in a row, in a cold start, hold requests back
 )
 
 // limiter computes the concurrency limit of one upstream.
@@ -32,8 +37,11 @@
 	slots    int
 	limit    float64
 	cuts     uint64
-	good     int // completions in line since the last step
-	patience int // limit's worths of completions needed for the next step
+	good     int  // completions in line since the last step
+	patience int  // limit's worths of completions needed for the next step
+	said     bool // the upstream says that it is cold
+	starting bool // the limit has not reached the slots since the restart
+	failures int  // in a row
 
 	samples  int
 	fast     float64    // logarithm of the recent latency in seconds
@@ -59,6 +67,8 @@
 	l.limit = 1
 	l.good = 0
 	l.patience = coldPatience
+	l.starting = true
+	l.failures = 0
 	l.before = 0
 	l.cuts++
 }
@@ -162,12 +172,28 @@
 		return
 	}
 	l.good++
-	if l.good < l.whole()*max(1, l.patience) {
+	patience := max(1, l.patience)
+	if l.said {
+		patience = max(patience, saidPatience)
+	}
+	if l.good < l.whole()*patience {
 		return
 	}
 	l.good = 0
 	l.patience = max(1, l.patience/2)
 	l.limit = min(float64(l.slots), math.Floor(l.limit)+1)
+	l.starting = l.starting && l.cold()
+}
+
+// overrun reports whether an upstream in cold start fails one request after the
+// other. It then most likely has more work than it can handle.
+func (l *limiter) overrun(ok bool) bool {
+	if ok {
+		l.failures = 0
+		return false
+	}
+	l.failures++
+	return l.starting && l.failures >= failuresInStart
 }
 
 func (l *limiter) stallBound() time.Duration {
@@ -201,22 +227,25 @@
 	backoffMax   = time.Second
 )
 
-// backoff holds requests back after a refused connection. When it ends, the
+// backoff holds requests back after a refused connection, or after failures in a
+// row in a cold start. When it ends, the
 // limit of one lets a single request try.
 type backoff struct {
-	until time.Time
-	next  time.Duration
+	until  time.Time
+	next   time.Duration
+	reason mulberrylink.Reason
 }
 
 func (b *backoff) holds(now time.Time) bool { return now.Before(b.until) }
 
-// extend counts all connections that fail while it holds as one failure.
-func (b *backoff) extend(now time.Time) {
+// extend counts all failures while it holds as one.
+func (b *backoff) extend(now time.Time, reason mulberrylink.Reason) {
 	if b.holds(now) {
 		return
 	}
 	b.next = min(backoffMax, max(backoffFirst, 2*b.next))
 	b.until = now.Add(b.next)
+	b.reason = reason
 }
 
 func (b *backoff) clear() { *b = backoff{} }
--- a/coordination/admission/ticket.go
+++ b/coordination/admission/ticket.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/mulberrylink/mulberrylink"
 )
 
 //go:generate stringer -type=Class -linecomment -output=class_string.go
@@ -98,9 +100,17 @@
 		g.limit.shed(t.cuts)
 	case Refused, Died:
 		g.limit.restart()
-		g.backoff.extend(now)
+		g.backoff.extend(now, mulberrylink.ReasonConnect)
 	case Success, Failure:
-		g.backoff.clear()
+		if !t.probe && g.limit.overrun(c.Class == Success) {
+			g.limit.restart()
+			g.limit.failures = failuresInStart // the next failure counts at once
+			g.backoff.extend(now, mulberrylink.ReasonCold)
+			return
+		}
+		if c.Class == Success {
+			g.backoff.clear()
+		}
 		if !t.probe {
 			g.limit.completed(now, t.latency(c, now), c.Class == Success, t.cuts)
 		}
