Keep the wait in queues out of the latency of a node

Cause: tries at nodes with a queue included the wait, so under overload the median rose until a node slow by eight had no slowdown.

TestSlowUnderOverload was seen failing with the former latency, and without the slowdown in the cost of a queue.

--- a/coordination/selection/peer.go
+++ b/coordination/selection/peer.go
@@ -36,14 +36,18 @@
 	uses     int // of the report
 	closedTo time.Time
 
-	latency   float64 // mean of the tries in seconds
-	latencyAt time.Time
+	latency    float64 // mean of the tries in seconds
+	latencyAt  time.Time
+	reportedAt time.Time // when the reported latency changed last
 
 	health
 	probeAt time.Time
 }
 
 func (e *peer) report(l mulberrylink.Load, now time.Time) {
+	if l.Latency != e.load.Latency {
+		e.reportedAt = now
+	}
 	e.load = l
 	e.loadAt = now
 	e.ownThen = e.outstanding
@@ -81,16 +85,18 @@
 		return own
 	}
 	others := float64(max(0, e.load.InFlight+e.load.Queued-e.ownThen))
-	return own + others*decay(now.Sub(e.loadAt), reportAge)
+	tau := max(reportAge, time.Duration(e.load.Latency*float64(time.Second)))
+	return own + others*decay(now.Sub(e.loadAt), tau)
 }
 
 // cost compares nodes: the share of slots in use, times the slowdown.
 func (e *peer) cost(median float64, now time.Time) float64 {
 	limit := float64(e.limit(now))
 	busy := e.busy(now)
-	c := (busy/limit + idleCost) * e.slowdown(median, now)
+	slowdown := e.slowdown(median, now)
+	c := (busy/limit + idleCost) * slowdown
 	if busy+1 > limit {
-		c += queueCost
+		c += queueCost * slowdown
 	}
 	if e.node.State == mulberrylink.NodeSuspect {
 		c += suspectCost
@@ -109,7 +115,11 @@
 	if ratio <= 1 {
 		return 1
 	}
-	return 1 + (ratio-1)*decay(now.Sub(e.latencyAt), latencyAge)
+	at := e.latencyAt
+	if e.known(now) && e.reportedAt.After(at) {
+		at = e.reportedAt
+	}
+	return 1 + (ratio-1)*decay(now.Sub(at), latencyAge)
 }
 
 // seen is the latency of the node: what its admitting node reports counts when
@@ -121,7 +131,13 @@
 	return e.latency
 }
 
+// observeLatency learns from a try, unless requests wait at the node: a try then
+// includes the wait, and under overload that would raise the median until a slow
+// node seems as fast as the others.
 func (e *peer) observeLatency(took time.Duration, now time.Time) {
+	if e.load.Queued > 0 {
+		return
+	}
 	s := took.Seconds()
 	if e.latency == 0 || now.Sub(e.latencyAt) > 10*latencyAge {
 		e.latency = s
--- a/coordination/selection/picker_test.go
+++ b/coordination/selection/picker_test.go
@@ -134,6 +134,27 @@
 	is.True(count["n0"] > 0)
 }
 
+// TestSlowUnderOverload guards against work for a slow upstream when the others
+// have queues, so that their tries take longer than those of the slow one.
+func TestSlowUnderOverload(t *testing.T) {
+	b := newBed(nodes(5, 1), nil)
+	b.share(200, evenly, idle)
+	took := func(node string) time.Duration {
+		if node == "n0" {
+			return 80 * time.Millisecond
+		}
+		return 100 * time.Millisecond
+	}
+	load := func(node string) mulberrylink.Load {
+		if node == "n0" {
+			return mulberrylink.Load{InFlight: 1, Limit: 1, Latency: 0.08}
+		}
+		return mulberrylink.Load{InFlight: 6, Queued: 20, Limit: 6, Latency: 0.01}
+	}
+	count := b.share(1000, took, load)
+	is.New(t).True(count["n0"] < 41) // its share of all limits is 40, of the capacity 5
+}
+
 // TestLatencyOutlier guards against work for an upstream far above the median
 // when the others are full.
 func TestLatencyOutlier(t *testing.T) {
