--- a/coordination/quorum/status.go
+++ b/coordination/quorum/status.go
@@ -22,6 +22,9 @@
 	// for a learner, after a disk error and during a sync that takes longer than
 	// an election timeout.
 	Voting bool
+	// Silent is a voter that has to be removed before another one is added, or
+	// 0; only a leader knows it.
+	Silent uint64
 	// Err is why it stopped taking part: a disk error or Stop.
 	Err error
 }
@@ -36,6 +39,9 @@
 		Commit: c.commit, Applied: h.applied, Members: c.members(),
 		Voting: h.failed == nil && c.isVoter(c.id) && !c.stalled(), Err: h.failed,
 	}
+	if c.role == Leader {
+		st.Silent = c.silentVoter()
+	}
 	for _, m := range st.Members {
 		if p := c.peers[m.ID]; m.Learner && p != nil {
 			if st.Learners == nil {
