--- a/cmd/mulberrybench/compare/scenario.go
+++ b/cmd/mulberrybench/compare/scenario.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/deployment"
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/pause"
 )
 
 // slowFactor is the sudden slowdown of one upstream of each service.
@@ -31,7 +32,7 @@
 // inject runs the scenario. The fault lasts from a quarter to three quarters of
 // the measured part, so that its begin and its end both count.
 func (f *faults) inject(ctx context.Context, scenario string, begin time.Time, length time.Duration) error {
-	if !wait(ctx, time.Until(begin.Add(length/4))) {
+	if !pause.For(ctx, time.Until(begin.Add(length/4))) {
 		return ctx.Err()
 	}
 	end := begin.Add(length * 3 / 4)
@@ -48,7 +49,7 @@
 		if err := f.domain(ctx, "out"); err != nil {
 			return err
 		}
-		if !wait(ctx, time.Until(end)) {
+		if !pause.For(ctx, time.Until(end)) {
 			return ctx.Err()
 		}
 		return f.domain(ctx, "in")
@@ -71,7 +72,7 @@
 			return errors.Wrapf(err, "settle %s", u.Name)
 		}
 	}
-	if !wait(ctx, settlePause) {
+	if !pause.For(ctx, settlePause) {
 		return ctx.Err()
 	}
 	return nil
@@ -147,15 +148,3 @@
 	f := &faults{d: d, config: filepath.Join(d.Run, "config"), out: out}
 	return f, deployment.CopyConfig(site, f.config)
 }
-
-// wait sleeps for d and reports false when ctx ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/cmd/mulberrybench/faults/run.go
+++ b/cmd/mulberrybench/faults/run.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/deployment"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/journal"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/load"
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/pause"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/upstream"
 )
 
@@ -190,7 +191,7 @@
 	r.tasks.Go(func() { r.steps(ctx, begin) })
 	rep := g.Run(ctx, mix, shots)
 	r.tasks.Wait()
-	wait(ctx, settle)
+	pause.For(ctx, settle)
 	lines, err := journal.ReadDir(filepath.Join(r.Run, "journal"))
 	if err != nil {
 		return err
@@ -223,7 +224,7 @@
 // the scenario then shows nothing.
 func (r *run) steps(ctx context.Context, begin time.Time) {
 	for _, s := range r.script.Steps {
-		if !wait(ctx, time.Until(begin.Add(s.At))) {
+		if !pause.For(ctx, time.Until(begin.Add(s.At))) {
 			return
 		}
 		err := verbs[s.Verb](r, ctx, s)
@@ -250,15 +251,3 @@
 }
 
 func since(t time.Time) time.Duration { return time.Since(t).Round(time.Millisecond) }
-
-// wait sleeps for d and reports false when ctx ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/cmd/mulberrybench/faults/traffic.go
+++ b/cmd/mulberrybench/faults/traffic.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/deployment"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/load"
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/pause"
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/upstream"
 )
 
@@ -105,7 +106,7 @@
 	if b.next.IsZero() {
 		b.next = time.Now()
 	}
-	if !wait(b.ctx, time.Until(b.next)) {
+	if !pause.For(b.ctx, time.Until(b.next)) {
 		return 0, b.ctx.Err()
 	}
 	n := copy(p, b.chunk[:min(len(b.chunk), b.left)])
@@ -151,7 +152,7 @@
 		var told []string
 		for i := range sends {
 			told = append(told, crash(ctx, s.Args[0], nodes[i%len(nodes)].Addr))
-			if !wait(ctx, every) {
+			if !pause.For(ctx, every) {
 				return
 			}
 		}
--- a/cmd/mulberrybench/load/generator.go
+++ b/cmd/mulberrybench/load/generator.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/pause"
 )
 
 // Options of a generator.
@@ -61,7 +63,7 @@
 	begin := time.Now()
 	defer g.client.CloseIdleConnections()
 	for _, s := range shots {
-		if !wait(ctx, time.Until(begin.Add(s.At))) {
+		if !pause.For(ctx, time.Until(begin.Add(s.At))) {
 			break
 		}
 		if g.inFlight.Load() >= int64(g.opt.Cap) {
@@ -91,7 +93,7 @@
 	entry := c.Entry
 	g.try(ctx, &c, r, &entry)
 	first := c.Last()
-	for n := 0; n < resends && r.Keyed && c.Last().Outcome == Unknown && wait(ctx, resendWait); n++ {
+	for n := 0; n < resends && r.Keyed && c.Last().Outcome == Unknown && pause.For(ctx, resendWait); n++ {
 		entry++
 		g.try(ctx, &c, r, &entry)
 	}
@@ -121,18 +123,3 @@
 func closed(s Send) bool {
 	return s.Outcome == NotRun && slices.Contains([]string{"dial", "domainout", "leaving", "isolated", "noconfig"}, s.Reason)
 }
-
-// wait sleeps for d and reports false when ctx ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/cmd/mulberrybench/slope/slope.go
+++ b/cmd/mulberrybench/slope/slope.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/pause"
 )
 
 // Size the system is designed for.
@@ -169,14 +171,10 @@
 }
 
 func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // until polls cond until it holds.
--- a/cmd/mulberrybench/upstream/request.go
+++ b/cmd/mulberrybench/upstream/request.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/journal"
+	"github.com/mulberrylink/mulberrylink/cmd/mulberrybench/pause"
 )
 
 // Request and answer headers.
@@ -158,7 +159,7 @@
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
-	if !sleep(ctx, s.serviceTime(b)) {
+	if !pause.For(ctx, s.serviceTime(b)) {
 		s.cancels.Add(1)
 		http.Error(w, "gave up", http.StatusGatewayTimeout)
 		return
@@ -298,15 +299,3 @@
 	}
 	return nil
 }
-
-// sleep waits for d and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- /dev/null
+++ b/state/settings/settingstest/settingstest.go
@@ -0,0 +1,67 @@
+// Package settingstest compares the reference of a program's settings with the
+// struct that the program loads.
+//
+// # Usage
+//
+//	settingstest.CheckReference(t, "../../docs/operations.md", "Settings of mulberrynode", nodeSettings{})
+package settingstest
+
+import (
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// CheckReference fails t unless the table under the heading of the page has
+// exactly one row for each key of the settings struct, with its default and its
+// limits.
+func CheckReference(t *testing.T, page, heading string, settings any) {
+	t.Helper()
+	data, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, table, _ := strings.Cut(string(data), "\n### "+heading+"\n")
+	table, _, _ = strings.Cut(table, "\n### ")
+	var rows []string
+	for _, l := range strings.Split(table, "\n") {
+		if cells := strings.Split(l, " | "); len(cells) == 6 && !strings.HasPrefix(l, "| section ") {
+			rows = append(rows, strings.Join([]string{strings.TrimPrefix(cells[0], "| "), cells[1], cells[3], cells[4]}, " | "))
+		}
+	}
+	sections := reflect.TypeOf(settings)
+	for i := range sections.NumField() {
+		s := sections.Field(i)
+		for j := range s.Type.NumField() {
+			want := settingsRow(s.Tag.Get("ini"), s.Type.Field(j).Tag)
+			k := slices.Index(rows, want)
+			if k < 0 {
+				t.Errorf("operations.md lacks section, key, default and limits: %s", want)
+				continue
+			}
+			rows = slices.Delete(rows, k, k+1)
+		}
+	}
+	if len(rows) > 0 {
+		t.Errorf("operations.md has rows for keys that do not exist: %q", rows)
+	}
+}
+
+func settingsRow(section string, tag reflect.StructTag) string {
+	def, limits := tag.Get("default"), "none"
+	switch {
+	case tag.Get("required") == "true":
+		def = "required"
+	case def == "":
+		def = "none"
+	}
+	switch {
+	case tag.Get("oneof") != "":
+		limits = strings.ReplaceAll(tag.Get("oneof"), ",", ", ")
+	case tag.Get("min") != "":
+		limits = tag.Get("min") + " to " + tag.Get("max")
+	}
+	return strings.Join([]string{section, tag.Get("ini"), def, limits}, " | ")
+}
