--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -75,7 +75,7 @@
 	defer g.mu.Unlock()
 	fresh := !g.known || incarnation != g.incarnation
 	back := g.state == mulberrylink.UpstreamDown && state != mulberrylink.UpstreamDown
-	chilled := state == mulberrylink.UpstreamCold && g.state != mulberrylink.UpstreamCold
+	turnedCold := state == mulberrylink.UpstreamCold && g.state != mulberrylink.UpstreamCold
 	g.known, g.incarnation, g.state = true, incarnation, state
 	if conns > 0 {
 		slots = min(slots, conns)
@@ -86,7 +86,7 @@
 		g.limit.forget()
 		g.backoff.clear()
 	}
-	if fresh || back || chilled {
+	if fresh || back || turnedCold {
 		g.limit.restart()
 	}
 	g.settle(g.clock.Now())
