--- /dev/null
+++ b/coordination/capacity/gate.go
@@ -0,0 +1,272 @@
+package capacity
+
+import (
+	"context"
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink/coordination/placement"
+)
+
+// Gate admits requests to one upstream. It is safe for concurrent use.
+type Gate struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	up       Upstream
+	open     bool
+	running  int
+	queue    []*waiter
+	admitted []time.Time // to a cold upstream, within rateWindow
+	factor   float64
+	factorAt time.Time
+	work     float64 // mean seconds of work
+	failing  float64
+	failAt   time.Time
+}
+
+// waiter is a request in the queue.
+type waiter struct {
+	ask    *Ask
+	result chan Reason // has room for one
+}
+
+// Ticket is the right to use a slot until Leave.
+type Ticket struct {
+	g    *Gate
+	once sync.Once
+}
+
+// New returns a closed gate.
+func New(now func() time.Time) *Gate { return &Gate{now: now, factor: 1, work: 0.08} }
+
+// Open lets requests in on the terms of the upstream.
+func (g *Gate) Open(u Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.up, g.open = u, true
+	g.dispatch(g.now())
+}
+
+// Close refuses new requests and those that wait.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open = false
+	for _, w := range g.queue {
+		w.result <- Closed
+	}
+	g.queue = nil
+}
+
+// Speed takes a report of how much longer than usual work takes.
+func (g *Gate) Speed(factor float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.factor, g.factorAt = factor, g.now()
+}
+
+// Ended takes the time and outcome of a request that ran.
+func (g *Gate) Ended(took time.Duration, failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if !failed {
+		g.work += workGain * (took.Seconds()/math.Max(1, g.factor) - g.work)
+	}
+	target := 0.0
+	if failed {
+		target = 1
+	}
+	cur := g.failShare(now)
+	g.failing, g.failAt = cur+failGain*(target-cur), now
+}
+
+func (g *Gate) failShare(now time.Time) float64 {
+	return g.failing * math.Exp(-float64(now.Sub(g.failAt))/float64(failTime))
+}
+
+// currentFactor is the last reported factor, which fades to the usual speed.
+func (g *Gate) currentFactor(now time.Time) float64 {
+	age := now.Sub(g.factorAt) - factorTime
+	if age <= 0 {
+		return g.factor
+	}
+	return 1 + (g.factor-1)*math.Exp(-float64(age)/float64(factorTime))
+}
+
+// Load returns the load of the upstream as this gate knows it.
+func (g *Gate) Load() placement.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	return placement.Load{
+		Running: g.running, Waiting: len(g.queue), Slots: g.up.Slots,
+		Factor: g.currentFactor(now), Failing: g.failShare(now), Cold: now.Before(g.up.ColdUntil),
+	}
+}
+
+// Idle reports whether no request runs or waits.
+func (g *Gate) Idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running == 0 && len(g.queue) == 0
+}
+
+// Enter admits a request, now or after a wait in the queue, or refuses it. A
+// request that was refused has not reached the upstream.
+func (g *Gate) Enter(ctx context.Context, ask *Ask) (*Ticket, Refusal) {
+	g.mu.Lock()
+	now := g.now()
+	if r := g.refuse(now, ask); r.Reason != Admitted {
+		g.mu.Unlock()
+		return nil, r
+	}
+	if g.running < g.up.Slots && len(g.queue) == 0 {
+		g.admit(now)
+		g.mu.Unlock()
+		return &Ticket{g: g}, Refusal{}
+	}
+	w := &waiter{ask: ask, result: make(chan Reason, 1)}
+	g.insert(w)
+	g.mu.Unlock()
+	return g.wait(ctx, w)
+}
+
+func (g *Gate) wait(ctx context.Context, w *waiter) (*Ticket, Refusal) {
+	timer := time.NewTimer(w.ask.Deadline.Sub(g.now()))
+	defer timer.Stop()
+	select {
+	case r := <-w.result:
+		return g.ended(r)
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, q := range g.queue {
+		if q == w {
+			g.queue = append(g.queue[:i], g.queue[i+1:]...)
+			return nil, Refusal{Reason: Expired}
+		}
+	}
+	// The decision fell at the same moment.
+	return g.ended(<-w.result)
+}
+
+func (g *Gate) ended(r Reason) (*Ticket, Refusal) {
+	if r == Admitted {
+		return &Ticket{g: g}, Refusal{}
+	}
+	return nil, Refusal{Reason: r}
+}
+
+// refuse returns why a request may not enter, before a slot is looked for.
+func (g *Gate) refuse(now time.Time, ask *Ask) Refusal {
+	switch {
+	case !g.open || g.up.Slots == 0:
+		return Refusal{Reason: Closed}
+	case len(g.queue) >= maxWaiting:
+		return Refusal{Reason: Full, After: g.drain(maxWaiting, now)}
+	}
+	if after, ok := g.warming(now); !ok {
+		return Refusal{Reason: Warming, After: after}
+	}
+	work := float64(ask.Work) * g.currentFactor(now)
+	wait := time.Duration(0)
+	if g.running >= g.up.Slots {
+		wait = g.drain(g.ahead(ask)+1, now)
+	}
+	finish := wait + time.Duration(work)
+	if ask.Elsewhere > 0 {
+		own := 1 - (1-placement.Miss(now, finish, work, ask.Objective, ask.Deadline))*(1-g.failShare(now))
+		if own > ask.Elsewhere+bounceMargin {
+			return Refusal{Reason: Slower}
+		}
+	}
+	if wait > 0 && now.Add(finish).After(ask.Deadline) {
+		return Refusal{Reason: Full, After: wait}
+	}
+	return Refusal{}
+}
+
+// ahead counts the waiting requests that go before ask.
+func (g *Gate) ahead(ask *Ask) int {
+	return sort.Search(len(g.queue), func(i int) bool { return before(ask, g.queue[i].ask) })
+}
+
+// before orders by priority and then by deadline.
+func before(a, b *Ask) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.Deadline.Before(b.Deadline)
+}
+
+// drain returns how long n requests take to leave when all slots are busy.
+func (g *Gate) drain(n int, now time.Time) time.Duration {
+	perSlot := g.work * g.currentFactor(now)
+	return time.Duration(float64(n) / float64(max(1, g.up.Slots)) * perSlot * float64(time.Second))
+}
+
+func (g *Gate) insert(w *waiter) {
+	i := g.ahead(w.ask)
+	g.queue = append(g.queue, nil)
+	copy(g.queue[i+1:], g.queue[i:])
+	g.queue[i] = w
+}
+
+// warming reports whether a cold upstream bears another request now, and
+// otherwise when.
+func (g *Gate) warming(now time.Time) (time.Duration, bool) {
+	if !now.Before(g.up.ColdUntil) {
+		return 0, true
+	}
+	for len(g.admitted) > 0 && now.Sub(g.admitted[0]) >= rateWindow {
+		g.admitted = g.admitted[1:]
+	}
+	if len(g.admitted) < max(1, int(g.up.WarmRate)) {
+		return 0, true
+	}
+	return rateWindow - now.Sub(g.admitted[0]), false
+}
+
+func (g *Gate) admit(now time.Time) {
+	g.running++
+	// Counted also while warm: the upstream may turn out to have been cold.
+	g.admitted = append(g.admitted, now)
+	for len(g.admitted) > 0 && now.Sub(g.admitted[0]) >= rateWindow {
+		g.admitted = g.admitted[1:]
+	}
+}
+
+// dispatch gives free slots to the queue.
+func (g *Gate) dispatch(now time.Time) {
+	for len(g.queue) > 0 && g.running < g.up.Slots {
+		w := g.queue[0]
+		g.queue = g.queue[1:]
+		if _, ok := g.warming(now); !ok {
+			w.result <- Warming
+			continue
+		}
+		work := time.Duration(float64(w.ask.Work) * g.currentFactor(now))
+		if now.Add(work / 2).After(w.ask.Deadline) {
+			w.result <- Full // even a fast run would be too late
+			continue
+		}
+		g.admit(now)
+		w.result <- Admitted
+	}
+}
+
+// Leave gives the slot back.
+func (t *Ticket) Leave() {
+	t.once.Do(func() {
+		t.g.mu.Lock()
+		defer t.g.mu.Unlock()
+		t.g.running--
+		t.g.dispatch(t.g.now())
+	})
+}
--- /dev/null
+++ b/coordination/directory/directory.go
@@ -0,0 +1,159 @@
+// Package directory holds the records of all nodes of a deployment as one
+// process knows them. It is a plain data structure; protocol/feed keeps the
+// directories of nodes and control hosts alike.
+//
+// A record replaces another one of the same name when its incarnation is
+// higher. Every change gets the next revision, so that a subscriber is sent
+// only what it has not seen.
+//
+// # Usage
+//
+//	d := directory.New()
+//	d.Put(node, "session-7", now)
+//	for _, n := range d.Service("archive") { … }
+//	changed, rev := d.Since(seen)
+package directory
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+)
+
+// goneTime is how long the record of a node that has gone is kept, so that a
+// late copy of an older record does not bring the node back.
+const goneTime = 30 * time.Second
+
+// Entry is a record with where it came from.
+type Entry struct {
+	Node mulberrylink.Node
+	// Source names who delivered the record: a session of the node itself, or
+	// another control host.
+	Source string
+	// Changed is when this directory took the record.
+	Changed time.Time
+
+	revision uint64
+}
+
+// Directory is a set of records. It is safe for concurrent use.
+type Directory struct {
+	mu       sync.Mutex
+	entries  map[string]*Entry
+	services map[string][]mulberrylink.Node // built on demand
+	revision uint64
+	changed  chan struct{}
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{entries: make(map[string]*Entry), changed: make(chan struct{})}
+}
+
+// Put takes a record and reports whether it was newer than the one held. The
+// source is noted also when the same record is delivered again.
+func (d *Directory) Put(n mulberrylink.Node, source string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[n.Name]
+	if ok && n.Incarnation <= e.Node.Incarnation {
+		if n.Incarnation == e.Node.Incarnation && n.State == e.Node.State {
+			e.Source = source
+		}
+		return false
+	}
+	d.put(n, source, now)
+	return true
+}
+
+func (d *Directory) put(n mulberrylink.Node, source string, now time.Time) {
+	d.revision++
+	d.entries[n.Name] = &Entry{Node: n, Source: source, Changed: now, revision: d.revision}
+	d.services = nil
+	close(d.changed)
+	d.changed = make(chan struct{})
+	for name, e := range d.entries {
+		if e.Node.State == mulberrylink.NodeGone && now.Sub(e.Changed) > goneTime {
+			delete(d.entries, name)
+		}
+	}
+}
+
+// Lose marks every record of a source as gone. Its next incarnation replaces
+// the mark.
+func (d *Directory) Lose(source string, now time.Time) (names []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, e := range d.entries {
+		if e.Source == source && e.Node.State != mulberrylink.NodeGone {
+			names = append(names, name)
+		}
+	}
+	for _, name := range names {
+		n := d.entries[name].Node
+		n.State = mulberrylink.NodeGone
+		n.Incarnation++
+		d.put(n, source, now)
+	}
+	return names
+}
+
+// Get returns the record of a node.
+func (d *Directory) Get(name string) (Entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[name]
+	if !ok {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Service returns the nodes beside upstreams of a service that have not gone,
+// by name. The caller must not change the slice.
+func (d *Directory) Service(name string) []mulberrylink.Node {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.services == nil {
+		d.services = make(map[string][]mulberrylink.Node)
+		for _, e := range d.entries {
+			if e.Node.State != mulberrylink.NodeGone {
+				d.services[e.Node.Service] = append(d.services[e.Node.Service], e.Node)
+			}
+		}
+		for _, ns := range d.services {
+			sort.Slice(ns, func(i, j int) bool { return ns[i].Name < ns[j].Name })
+		}
+	}
+	return d.services[name]
+}
+
+// Since returns the entries that changed after a revision, the revision now
+// and a channel that is closed at the next change.
+func (d *Directory) Since(revision uint64) (changed []Entry, now uint64, next <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if revision < d.revision {
+		for _, e := range d.entries {
+			if e.revision > revision {
+				changed = append(changed, *e)
+			}
+		}
+	}
+	return changed, d.revision, d.changed
+}
+
+// Size returns the number of nodes that have not gone.
+func (d *Directory) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, e := range d.entries {
+		if e.Node.State != mulberrylink.NodeGone {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/coordination/document/state.go
@@ -0,0 +1,180 @@
+package document
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"slices"
+
+	"github.com/mulberrylink/mulberrylink/state/codec"
+)
+
+// Item is a named part of a document.
+type Item struct {
+	Name string `cbor:"n"`
+	Data []byte `cbor:"d"`
+}
+
+// List is an ordered list of items with distinct names.
+type List struct {
+	Name  string `cbor:"n"`
+	Items []Item `cbor:"i"`
+}
+
+// State is one version of the document and the failure domains that are out of
+// service. A State is not changed once it is published.
+type State struct {
+	Version uint64 `cbor:"v"`
+	Lists   []List `cbor:"l"`
+	// Rest holds what is not a list of named items.
+	Rest []byte `cbor:"r,omitempty"`
+	// Out names the failure domains that are out of service, sorted.
+	Out []string `cbor:"o,omitempty"`
+	// Serial grows with every change of the document or of Out.
+	Serial uint64 `cbor:"s"`
+}
+
+// Change replaces the document, or parts of it when Whole is false.
+type Change struct {
+	Base    uint64 `cbor:"b"`
+	Version uint64 `cbor:"v"`
+	Whole   bool   `cbor:"w,omitempty"`
+	// Lists are the new lists of a whole change, and the items to add or to
+	// replace by name otherwise.
+	Lists []List `cbor:"l,omitempty"`
+	// Remove names the items to remove. Only the names count.
+	Remove []List `cbor:"x,omitempty"`
+	// Rest replaces State.Rest of a whole change, or when it is not empty.
+	Rest []byte `cbor:"r,omitempty"`
+}
+
+// Digest identifies the exact change.
+func (c *Change) Digest() []byte {
+	data, err := codec.Marshal(c)
+	if err != nil {
+		panic(err) // plain data always encodes
+	}
+	sum := sha256.Sum256(data)
+	return sum[:16]
+}
+
+// List returns the items of the named list.
+func (s *State) List(name string) []Item {
+	for _, l := range s.Lists {
+		if l.Name == name {
+			return l.Items
+		}
+	}
+	return nil
+}
+
+// IsOut reports whether a failure domain is out of service.
+func (s *State) IsOut(domain string) bool {
+	_, found := slices.BinarySearch(s.Out, domain)
+	return found
+}
+
+// Apply returns the state after a change. It does not look at versions.
+func (s *State) Apply(c *Change) *State {
+	next := &State{Version: c.Version, Rest: s.Rest, Out: s.Out, Serial: s.Serial + 1}
+	if c.Whole {
+		next.Lists, next.Rest = c.Lists, c.Rest
+		return next
+	}
+	if len(c.Rest) > 0 {
+		next.Rest = c.Rest
+	}
+	names := make([]string, 0, len(s.Lists))
+	for _, l := range s.Lists {
+		names = append(names, l.Name)
+	}
+	for _, l := range c.Lists {
+		if !slices.Contains(names, l.Name) {
+			names = append(names, l.Name)
+		}
+	}
+	for _, name := range names {
+		items := merge(s.List(name), itemsOf(c.Lists, name), itemsOf(c.Remove, name))
+		next.Lists = append(next.Lists, List{Name: name, Items: items})
+	}
+	return next
+}
+
+func itemsOf(lists []List, name string) []Item {
+	s := State{Lists: lists}
+	return s.List(name)
+}
+
+func merge(old, set, remove []Item) []Item {
+	gone := make(map[string]bool, len(remove))
+	for _, it := range remove {
+		gone[it.Name] = true
+	}
+	fresh := make(map[string][]byte, len(set))
+	for _, it := range set {
+		fresh[it.Name] = it.Data
+	}
+	items := make([]Item, 0, len(old)+len(set))
+	for _, it := range old {
+		data, replaced := fresh[it.Name]
+		switch {
+		case replaced:
+			items = append(items, Item{Name: it.Name, Data: data})
+			delete(fresh, it.Name)
+		case !gone[it.Name]:
+			items = append(items, it)
+		}
+	}
+	for _, it := range set {
+		if data, left := fresh[it.Name]; left {
+			items = append(items, Item{Name: it.Name, Data: data})
+			delete(fresh, it.Name)
+		}
+	}
+	return items
+}
+
+// Diff returns the change that leads from one state to another, so that a
+// follower need not be sent what it has.
+func Diff(from, to *State) *Change {
+	c := &Change{Base: from.Version, Version: to.Version}
+	if !bytes.Equal(from.Rest, to.Rest) {
+		c.Rest = to.Rest
+	}
+	for _, l := range to.Lists {
+		old := make(map[string][]byte)
+		for _, it := range from.List(l.Name) {
+			old[it.Name] = it.Data
+		}
+		var set []Item
+		for _, it := range l.Items {
+			data, had := old[it.Name]
+			if !had || !bytes.Equal(data, it.Data) {
+				set = append(set, it)
+			}
+			delete(old, it.Name)
+		}
+		if len(set) > 0 {
+			c.Lists = append(c.Lists, List{Name: l.Name, Items: set})
+		}
+		c.Remove = appendRemoved(c.Remove, l.Name, from.List(l.Name), old)
+	}
+	for _, l := range from.Lists {
+		if !slices.ContainsFunc(to.Lists, func(x List) bool { return x.Name == l.Name }) {
+			c.Remove = append(c.Remove, List{Name: l.Name, Items: l.Items})
+		}
+	}
+	return c
+}
+
+func appendRemoved(remove []List, name string, old []Item, gone map[string][]byte) []List {
+	var items []Item
+	for _, it := range old {
+		if _, left := gone[it.Name]; left {
+			items = append(items, Item{Name: it.Name})
+		}
+	}
+	if len(items) == 0 {
+		return remove
+	}
+	return append(remove, List{Name: name, Items: items})
+}
--- /dev/null
+++ b/coordination/placement/board.go
@@ -0,0 +1,279 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// holdTime is how long a report of the speed holds on average. Disturbances
+	// of shared hosts last some hundred milliseconds.
+	holdTime = 350 * time.Millisecond
+	// disturbedShare and disturbedFactor describe a host of which nothing is
+	// known: the share of time in which it is disturbed, and how much slower.
+	disturbedShare  = 0.15
+	disturbedFactor = 5.0
+	// spread is the relative deviation of the work of one route.
+	spread = 0.3
+	// fixedSpread covers what is not work: network and queues of the hosts.
+	fixedSpread = 8 * time.Millisecond
+	// failGain and failTime weigh failures: a few in a row make a candidate the
+	// last choice, and it is tried again some seconds later.
+	failGain = 0.25
+	failTime = 2 * time.Second
+	// waitWeight orders candidates that are all in time by how soon they are.
+	waitWeight = 0.15
+	// refusedTime is how long a refusal for lack of room keeps a candidate out.
+	refusedTime = 60 * time.Millisecond
+	// lostTime is how long a node that could not be reached is left alone, and
+	// lostMax the longest such time after repeated losses.
+	lostTime = 300 * time.Millisecond
+	lostMax  = 3 * time.Second
+)
+
+// Settings of a board.
+type Settings struct {
+	// Transfer is the charge for a KiB that leaves the failure domain, in units
+	// of one request answered in time.
+	Transfer float64
+	// Hop is the time that a message to another failure domain and back takes.
+	Hop time.Duration
+	// Domain is the failure domain of this node.
+	Domain string
+}
+
+// Load is what is known of an upstream.
+type Load struct {
+	Running, Waiting, Slots int
+	// Factor is how much longer than usual work takes on its host.
+	Factor float64
+	// Failing is the share of requests that failed lately, as its node sees it.
+	Failing float64
+	// Cold is true while the upstream takes only few requests a second.
+	Cold bool
+}
+
+// Candidate is an upstream that may be chosen.
+type Candidate struct {
+	Name   string
+	Domain string
+	Slots  int
+	Cold   bool
+	Local  bool
+}
+
+// Ask describes the request to place.
+type Ask struct {
+	// Work is the time that the request takes on an undisturbed host.
+	Work time.Duration
+	// Objective is when the answer loses most of its use, Deadline when all.
+	Objective, Deadline time.Time
+	// KiB is the size of request and answer.
+	KiB float64
+	// Avoid names candidates that refused or failed this request already.
+	Avoid map[string]bool
+}
+
+// Choice is a candidate with what is expected there.
+type Choice struct {
+	Name string
+	// Cost is the expected loss, in units of one request answered in time.
+	Cost float64
+	// Alternative is the cost of the next best choice, 0 when there is none.
+	Alternative float64
+	// Age is how old the report is that decided, negative without one.
+	Age time.Duration
+	// Factor is the slowdown that was assumed.
+	Factor float64
+}
+
+// belief is what the board holds of one upstream.
+type belief struct {
+	load    Load
+	at      time.Time
+	sent    int // requests on their way or running, sent from here
+	failing float64
+	failAt  time.Time
+	outTill time.Time
+	lost    int
+}
+
+// Board holds the beliefs of one node. It is safe for concurrent use.
+type Board struct {
+	set Settings
+
+	mu      sync.Mutex
+	beliefs map[string]*belief
+}
+
+// New returns a board without beliefs.
+func New(set Settings) *Board {
+	return &Board{set: set, beliefs: make(map[string]*belief)}
+}
+
+func (b *Board) belief(name string) *belief {
+	x := b.beliefs[name]
+	if x == nil {
+		x = &belief{load: Load{Factor: 1}}
+		b.beliefs[name] = x
+	}
+	return x
+}
+
+// Choose returns the candidate with the lowest cost. Candidates to avoid are
+// chosen only when no other is left; ok is false without any candidate.
+func (b *Board) Choose(now time.Time, ask *Ask, all []Candidate) (best Choice, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	second := math.Inf(1)
+	best.Cost = math.Inf(1)
+	for i := range all {
+		if ask.Avoid[all[i].Name] {
+			continue
+		}
+		c := b.rate(now, ask, &all[i])
+		if c.Cost < best.Cost {
+			second = best.Cost
+			best, ok = c, true
+		} else if c.Cost < second {
+			second = c.Cost
+		}
+	}
+	if !math.IsInf(second, 1) {
+		best.Alternative = second
+	}
+	return best, ok
+}
+
+// rate returns what is expected of one candidate.
+func (b *Board) rate(now time.Time, ask *Ask, c *Candidate) Choice {
+	x := b.belief(c.Name)
+	out := Choice{Name: c.Name, Age: -1}
+	load := x.load
+	if load.Slots == 0 {
+		load.Slots = max(1, c.Slots)
+	}
+	hold := 0.0
+	if !x.at.IsZero() {
+		out.Age = now.Sub(x.at)
+		hold = math.Exp(-float64(out.Age) / float64(holdTime))
+	}
+	hop := time.Duration(0)
+	if !c.Local {
+		hop = b.set.Hop / 4 // within the failure domain only the programs take time
+	}
+	charge := 0.0
+	if c.Domain != b.set.Domain {
+		hop = b.set.Hop
+		charge = ask.KiB * b.set.Transfer
+	}
+	// What the report counted has partly ended since, and what was sent from
+	// here may be part of it: the larger of the two is the better guess.
+	ahead := math.Max(hold*float64(load.Running+load.Waiting), float64(x.sent))
+	finish := func(factor float64) (time.Duration, float64) {
+		work := float64(ask.Work) * factor
+		wait := math.Max(0, ahead-float64(load.Slots)+1) / float64(load.Slots) * work
+		d := hop + time.Duration(work+wait)
+		return d, Miss(now, d, work, ask.Objective, ask.Deadline)
+	}
+	reported, missReported := finish(load.Factor)
+	quiet, missQuiet := finish(1)
+	slow, missSlow := finish(disturbedFactor)
+	prior := disturbedShare*missSlow + (1-disturbedShare)*missQuiet
+	miss := hold*missReported + (1-hold)*prior
+	mean := hold*float64(reported) + (1-hold)*((1-disturbedShare)*float64(quiet)+disturbedShare*float64(slow))
+	out.Factor = hold*load.Factor + (1-hold)*(1+disturbedShare*(disturbedFactor-1))
+	fail := x.failure(now, hold)
+	out.Cost = 1 - (1-miss)*(1-fail) + charge
+	if left := ask.Objective.Sub(now); left > 0 {
+		out.Cost += waitWeight * math.Min(1, mean/float64(left))
+	} else {
+		out.Cost += waitWeight * (1 + math.Min(1, mean/float64(time.Second)))
+	}
+	if c.Cold || load.Cold {
+		out.Cost += 0.2 * (1 + float64(x.sent))
+	}
+	if now.Before(x.outTill) {
+		out.Cost += 2
+	}
+	out.Cost += rand.Float64() * 0.002 // equal candidates take turns
+	return out
+}
+
+// failure returns the probability that a request fails there.
+func (x *belief) failure(now time.Time, hold float64) float64 {
+	own := 0.0
+	if x.failing > 0 {
+		own = x.failing * math.Exp(-float64(now.Sub(x.failAt))/float64(failTime))
+	}
+	return math.Min(1, math.Max(own, hold*x.load.Failing))
+}
+
+// Sent notes that a request is on its way to an upstream.
+func (b *Board) Sent(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.belief(name).sent++
+}
+
+// Ended notes that a request that was sent has ended in whatever way.
+func (b *Board) Ended(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.belief(name)
+	x.sent = max(0, x.sent-1)
+}
+
+// Report takes the load that came with an answer.
+func (b *Board) Report(name string, l Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.belief(name)
+	x.load, x.at = l, now
+	x.lost = 0
+}
+
+// Outcome notes whether a request that ran there failed.
+func (b *Board) Outcome(name string, failed bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.belief(name)
+	own := x.failing * math.Exp(-float64(now.Sub(x.failAt))/float64(failTime))
+	target := 0.0
+	if failed {
+		target = 1
+	}
+	x.failing, x.failAt = own+failGain*(target-own), now
+}
+
+// Refused keeps a candidate that had no room out for a short time.
+func (b *Board) Refused(name string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.belief(name)
+	x.outTill = now.Add(refusedTime)
+}
+
+// Lost leaves a node that could not be reached alone, longer each time.
+func (b *Board) Lost(name string, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.belief(name)
+	d := min(lostMax, lostTime<<min(x.lost, 8))
+	x.lost++
+	x.outTill = now.Add(d)
+	return d
+}
+
+// Known returns the load last reported and its age.
+func (b *Board) Known(name string, now time.Time) (Load, time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.beliefs[name]
+	if x == nil || x.at.IsZero() {
+		return Load{}, 0, false
+	}
+	return x.load, now.Sub(x.at), true
+}
--- a/coordination/quorum/status.go
+++ b/coordination/quorum/status.go
@@ -25,6 +25,9 @@
 	// Silent is a voter that has to be removed before another one is added, or
 	// 0; only a leader knows it.
 	Silent uint64
+	// Quiet lists the members that have not answered within an election timeout;
+	// only a leader knows them.
+	Quiet []uint64
 	// Err is why it stopped taking part: a disk error or Stop.
 	Err error
 }
@@ -41,6 +44,11 @@
 	}
 	if c.role == Leader {
 		st.Silent = c.silentVoter()
+		for _, m := range st.Members {
+			if !c.alive(m.ID) {
+				st.Quiet = append(st.Quiet, m.ID)
+			}
+		}
 	}
 	for _, m := range st.Members {
 		if p := c.peers[m.ID]; m.Learner && p != nil {
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -11,8 +11,7 @@
 
 // Constants of a budget. Tokens are counted in hundredths.
 const (
-	token       = 100
-	savedTokens = 100 * token // a long quiet time must not pay for a storm of retries
+	token = 100
 
 	window       = 10 * time.Second // latencies count for one to two windows
 	recompute    = 100 * time.Millisecond
@@ -27,6 +26,7 @@
 type Budget struct {
 	mu       sync.Mutex
 	tokens   int
+	saved    int // the most tokens: a long quiet time must not pay for a storm of retries
 	reserve  int
 	left     int // of the reserve
 	refill   time.Duration
@@ -39,9 +39,10 @@
 	enough         bool
 }
 
-func newBudget(reserve int, refill time.Duration) *Budget {
+func newBudget(reserve, saved int, refill time.Duration) *Budget {
 	return &Budget{
 		reserve: reserve,
+		saved:   saved * token,
 		refill:  refill,
 		recent:  newHistogram(),
 		former:  newHistogram(),
@@ -55,7 +56,7 @@
 func (b *Budget) first(percent int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(savedTokens, b.tokens+percent)
+	b.tokens = min(b.saved, b.tokens+percent)
 }
 
 // take uses a token, or a part of the reserve when there is none.
--- a/coordination/retry/budgets.go
+++ b/coordination/retry/budgets.go
@@ -19,6 +19,7 @@
 	DefaultReserve = 3
 	DefaultRefill  = time.Second
 	DefaultExtra   = 3
+	DefaultSaved   = 100
 )
 
 // Config holds the settings of Budgets. Zero values select the defaults.
@@ -35,6 +36,9 @@
 	// Extra is the largest number of tries beyond the first that one request
 	// may cost on all nodes of a chain of calls together.
 	Extra int
+	// Saved is the number of unused tries that a service may save up. Many nodes
+	// that share a budget need a small one.
+	Saved int
 }
 
 // Budgets holds the budget of each service. It is safe for concurrent use.
@@ -51,6 +55,7 @@
 	cfg.Reserve = cmp.Or(cfg.Reserve, DefaultReserve)
 	cfg.Refill = cmp.Or(cfg.Refill, DefaultRefill)
 	cfg.Extra = cmp.Or(cfg.Extra, DefaultExtra)
+	cfg.Saved = cmp.Or(cfg.Saved, DefaultSaved)
 	if cfg.Percent == nil {
 		cfg.Percent = func(string) int { return DefaultPercent }
 	}
@@ -142,7 +147,7 @@
 	if s, found = b.services[name]; found {
 		return s
 	}
-	s = newBudget(b.cfg.Reserve, b.cfg.Refill)
+	s = newBudget(b.cfg.Reserve, b.cfg.Saved, b.cfg.Refill)
 	b.services[name] = s
 	return s
 }
--- /dev/null
+++ b/coordination/routes/table.go
@@ -0,0 +1,51 @@
+package routes
+
+import (
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table is one version of the routes. It is not changed once it is made.
+type Table struct {
+	Version  uint64
+	Services map[string]Service
+	Limits   Limits
+
+	byHost map[string][]*Route // longest prefix first
+}
+
+// NewTable returns a table of the routes.
+func NewTable(version uint64, list []Route, services []Service, limits Limits) *Table {
+	t := &Table{
+		Version: version, Limits: limits,
+		Services: make(map[string]Service, len(services)),
+		byHost:   make(map[string][]*Route),
+	}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for i := range list {
+		host := strings.ToLower(list[i].Host)
+		t.byHost[host] = append(t.byHost[host], &list[i])
+	}
+	for _, rs := range t.byHost {
+		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].Prefix) > len(rs[j].Prefix) })
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix among those of the host, nil
+// when there is none. The host may carry a port and the path a query.
+func (t *Table) Match(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	path, _, _ = strings.Cut(path, "?")
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/worktime/worktime.go
@@ -0,0 +1,60 @@
+// Package worktime estimates how long the requests of a route work on an
+// undisturbed upstream, from what answered requests took and how fast their
+// host was meanwhile.
+//
+// # Usage
+//
+//	w := worktime.New()
+//	w.Observe("orders", took, 1.0)
+//	mean := w.Mean("orders")
+package worktime
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// gain is the weight of one observation. It follows a change of the work
+	// within some tens of requests.
+	gain = 0.05
+	// unknown is the estimate of a route that has not been answered yet.
+	unknown = 80 * time.Millisecond
+)
+
+// Table holds one estimate for each route. It is safe for concurrent use.
+type Table struct {
+	mu   sync.Mutex
+	mean map[string]float64 // seconds
+}
+
+// New returns a table without estimates.
+func New() *Table { return &Table{mean: make(map[string]float64)} }
+
+// Observe records that a request took so long on a host that needed factor
+// times its usual time for the work.
+func (t *Table) Observe(route string, took time.Duration, factor float64) {
+	x := took.Seconds() / max(factor, 0.1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.mean[route]
+	if !ok {
+		t.mean[route] = x
+		return
+	}
+	// A single request that met a disturbance must not move the estimate far.
+	t.mean[route] = m + gain*(min(x, 4*m)-m)
+}
+
+// Mean returns the estimate of a route.
+func (t *Table) Mean(route string) time.Duration { return t.MeanOr(route, unknown) }
+
+// MeanOr returns the estimate of a route, or the given one when there is none.
+func (t *Table) MeanOr(route string, unknown time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m, ok := t.mean[route]; ok {
+		return time.Duration(m * float64(time.Second))
+	}
+	return unknown
+}
--- /dev/null
+++ b/gateway/admit.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink/coordination/capacity"
+	"github.com/mulberrylink/mulberrylink/coordination/routes"
+	"github.com/mulberrylink/mulberrylink/protocol/hop"
+	"github.com/mulberrylink/mulberrylink/transport/exchange"
+)
+
+const (
+	// returnTime is kept from the time that an upstream gets, for its answer on
+	// the way back.
+	returnTime = 4 * time.Millisecond
+	// answerSlack is how much longer than it was given an upstream is waited
+	// for: its own answer at the deadline says more than ours.
+	answerSlack = 30 * time.Millisecond
+	// onceMaxIdle is the longest idle time of a connection on which a request
+	// is sent that may run at most once. An upstream may drop idle connections
+	// without notice, and what is sent then must be taken as run.
+	onceMaxIdle = 1500 * time.Millisecond
+)
+
+// Reasons for a refusal that are not those of the gate.
+const (
+	refusedLeaving   = "leaving"
+	refusedNoService = "noservice"
+	refusedDown      = "down"
+	refusedBarred    = "barred"
+	refusedNoConfig  = "noconfig"
+)
+
+// work is a request as the admitting node sees it.
+type work struct {
+	ask       hop.Ask
+	method    string
+	target    string
+	host      string
+	header    http.Header
+	body      io.Reader
+	length    int64
+	objective time.Time
+	deadline  time.Time
+}
+
+// result is what became of a request at one upstream.
+type result struct {
+	reply hop.Reply
+	// ans is nil when the request was refused or the exchange failed.
+	ans *exchange.Answer
+	// failure is set when the exchange failed after something was sent.
+	failure error
+}
+
+// ran reports whether the request may have run.
+func (r *result) ran() bool { return r.reply.Refused == "" && !r.reply.NotRun }
+
+func (g *Gateway) refusal(reason string, after time.Duration) result {
+	g.stats.count("admit_refused." + reason)
+	return result{reply: hop.Reply{Load: g.gate.Load(), Refused: reason, After: after, Epoch: g.epoch}}
+}
+
+// admit runs a request on the upstream beside this node, or refuses it.
+func (g *Gateway) admit(ctx context.Context, w *work) result {
+	b := g.upstream.current()
+	if b.Service != w.ask.Service || b.ID == "" {
+		return g.refusal(refusedNoService, 0)
+	}
+	queued := time.Now()
+	ticket, refusal := g.gate.Enter(ctx, &capacity.Ask{
+		Work: w.ask.Work, Priority: w.ask.Priority, Objective: w.objective, Deadline: w.deadline, Elsewhere: w.ask.Elsewhere,
+	})
+	if ticket == nil {
+		return g.refusal(refusal.Reason.String(), refusal.After)
+	}
+	defer ticket.Leave()
+	began := time.Now()
+	if wait := began.Sub(queued); wait > time.Millisecond {
+		g.stats.latency("admit_wait_us", wait)
+	}
+	// The wait may have outlasted the upstream.
+	if b = g.upstream.current(); b.Service != w.ask.Service {
+		return g.refusal(refusedNoService, 0)
+	}
+	if v := g.view.Load(); v != nil && v.state.IsOut(g.cfg.Domain) {
+		return g.refusal(capacity.Closed.String(), 0)
+	}
+	return g.exchange(ctx, w, &b, began)
+}
+
+// exchange sends an admitted request.
+func (g *Gateway) exchange(ctx context.Context, w *work, b *Beat, began time.Time) result {
+	left := w.deadline.Sub(began) - returnTime
+	if left <= 0 {
+		return g.refusal(capacity.Expired.String(), 0)
+	}
+	d := g.cfg.Dialect
+	header := w.header.Clone()
+	header.Del(hop.Header)
+	d.Mark(header, Forwarded{Left: left, Identity: b.ID, Caller: w.ask.Caller})
+	id := d.RequestID(header)
+	call := &exchange.Call{
+		Addr: b.Addr, Method: w.method, Target: w.target, Host: w.host, Header: header,
+		Body: w.body, Length: w.length, Deadline: w.deadline.Add(answerSlack),
+		Match: func(h http.Header) bool { return d.Belongs(id, h) },
+	}
+	if w.ask.Kind != routes.Safe {
+		call.MaxIdle = onceMaxIdle
+	}
+	ans, err := g.backend.Do(ctx, call)
+	took := time.Since(began)
+	if err != nil {
+		return g.exchangeFailed(ctx, w, b, took, err)
+	}
+	signs := d.Signs(ans.Status, ans.Header)
+	factor := g.gate.Load().Factor
+	g.upstream.report(signs)
+	res := result{reply: hop.Reply{Took: took, NotRun: signs.NotRun, Epoch: g.epoch}, ans: ans}
+	switch {
+	case signs.NotRun:
+		g.stats.count("upstream_notrun")
+		g.upstream.ask()
+		g.gate.Ended(took, false)
+	case ans.Status < http.StatusMultipleChoices && !signs.Signed:
+		// A success without the upstream's mark is not its answer.
+		g.stats.count("upstream_unsigned")
+		ans.Close()
+		res.ans, res.failure, res.reply.Bad = nil, errUnsigned, true
+		g.gate.Ended(took, true)
+	default:
+		failed := ans.Status >= http.StatusInternalServerError
+		g.gate.Ended(took, failed)
+		if !failed {
+			g.works.Observe(w.ask.Route, took, max(factor, signs.Factor))
+		}
+	}
+	res.reply.Load = g.gate.Load()
+	return res
+}
+
+var errUnsigned = errors.New("the answer lacks the mark of the upstream")
+
+func (g *Gateway) exchangeFailed(ctx context.Context, w *work, b *Beat, took time.Duration, err error) result {
+	var f *exchange.Failure
+	if errors.As(err, &f) && f.Stage == exchange.NotSent {
+		if f.Refused {
+			g.upstream.refused(b.ID)
+		}
+		g.log.Warn().Str("request", w.ask.ID).Str("upstream", b.ID).Err(err).Msg("upstream not reached")
+		return g.refusal(refusedDown, 0)
+	}
+	if ctx.Err() == nil {
+		g.gate.Ended(took, true)
+		g.upstream.ask()
+		g.stats.count("upstream_failed")
+		g.log.Warn().Str("request", w.ask.ID).Str("upstream", b.ID).Str("route", w.ask.Route).
+			Dur("took", took).Err(err).Msg("exchange with upstream failed")
+	}
+	return result{failure: err, reply: hop.Reply{Load: g.gate.Load(), Took: took, Bad: true, Epoch: g.epoch}}
+}
--- /dev/null
+++ b/gateway/entry.go
@@ -0,0 +1,424 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/placement"
+	"github.com/mulberrylink/mulberrylink/coordination/routes"
+	"github.com/mulberrylink/mulberrylink/protocol/hop"
+	"github.com/mulberrylink/mulberrylink/transport/ingress"
+)
+
+const (
+	// keptBody is the largest body that is read whole before it is sent, so that
+	// it can be sent once more when an upstream refused the request.
+	keptBody = 1 << 20
+	// defaultWait is how long a caller waits who does not say.
+	defaultWait = 30 * time.Second
+	// timeoutSlack is how much later than its route's timeout a request ends:
+	// the answer of the upstream at that time says more than ours.
+	timeoutSlack = 60 * time.Millisecond
+	// headerKiB is the size of the headers of a request and its answer.
+	headerKiB = 0.9
+	// noRoom is the time after which a caller is told to come back when no
+	// upstream said when it has room.
+	noRoom = 250 * time.Millisecond
+	// maxPlaced bounds how often one request is placed, and maxBounced how often
+	// because another upstream is faster.
+	maxPlaced  = 6
+	maxBounced = 2
+)
+
+// Words of Mulberry-Reason for answers that the node makes itself.
+const (
+	headerOutcome = "Mulberry-Outcome"
+	headerReason  = "Mulberry-Reason"
+)
+
+// request is a caller's request at its entry node.
+type request struct {
+	g         *Gateway
+	id        string // of the caller
+	began     time.Time
+	view      *view
+	route     *routes.Route
+	service   string
+	in        *http.Request
+	header    http.Header
+	length    int64
+	body      []byte    // when it was kept
+	rest      io.Reader // what follows body, nil when body is all
+	objective time.Time
+	deadline  time.Time
+	work      time.Duration
+	account   *mulberrylink.Request // for the retry budget
+}
+
+// serveCaller answers one request of a caller.
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	v := g.view.Load()
+	if v == nil {
+		g.reply(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, refusedNoConfig, noRoom)
+		return
+	}
+	route := v.table.Match(r.Host, r.RequestURI)
+	if route == nil {
+		g.reply(w, r, nil, http.StatusNotFound, mulberrylink.NotRun, mulberrylink.ReasonNoRoute.String(), 0)
+		return
+	}
+	if limit := v.table.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
+		g.reply(w, r, nil, http.StatusRequestEntityTooLarge, mulberrylink.NotRun, mulberrylink.ReasonTooLarge.String(), 0)
+		return
+	}
+	q := g.newRequest(v, route, r, now)
+	if err := q.readBody(); err != nil {
+		if r.Context().Err() == nil {
+			g.reply(w, r, q, http.StatusBadRequest, mulberrylink.NotRun, mulberrylink.ReasonBadRequest.String(), 0)
+		}
+		return
+	}
+	q.serve(w)
+}
+
+func (g *Gateway) newRequest(v *view, route *routes.Route, r *http.Request, now time.Time) *request {
+	wait, ok := g.cfg.Dialect.Wait(r.Header)
+	if !ok {
+		wait = defaultWait
+	}
+	if route.Timeout > 0 {
+		wait = min(wait, route.Timeout+timeoutSlack)
+	}
+	objective := wait
+	if route.Objective > 0 {
+		objective = min(wait, max(route.Objective-g.cfg.Tuning.CallerLink, route.Objective/2))
+	}
+	q := &request{
+		g: g, id: g.cfg.Dialect.RequestID(r.Header), began: now, view: v, route: route, service: g.splits.Pick(route),
+		in: r, header: ingress.EndToEnd(r.Header), length: r.ContentLength,
+		objective: now.Add(objective), deadline: now.Add(wait), work: g.works.Mean(route.Name),
+	}
+	q.account = &mulberrylink.Request{Service: q.service, Idempotent: route.Kind == routes.Safe, Deadline: q.deadline}
+	return q
+}
+
+// readBody reads the body, or its beginning when it is long.
+func (q *request) readBody() error {
+	if q.length == 0 {
+		return nil
+	}
+	var buf bytes.Buffer
+	if q.length > 0 {
+		buf.Grow(int(min(q.length, keptBody)) + 512)
+	}
+	_, err := io.CopyN(&buf, q.in.Body, keptBody)
+	q.body = buf.Bytes()
+	switch {
+	case errors.Is(err, io.EOF):
+		q.length = int64(len(q.body))
+		return nil
+	case err == nil:
+		if q.length != keptBody {
+			q.rest = q.in.Body
+		}
+		return nil
+	}
+	return err
+}
+
+// replayable reports whether the body can be sent once more.
+func (q *request) replayable() bool { return q.rest == nil }
+
+func (q *request) reader() io.Reader {
+	switch {
+	case q.length == 0:
+		return nil
+	case q.rest != nil:
+		return io.MultiReader(bytes.NewReader(q.body), q.rest)
+	}
+	return bytes.NewReader(q.body)
+}
+
+// try is one attempt to have the request run.
+type try struct {
+	node   mulberrylink.Node
+	local  bool
+	choice placement.Choice
+	hedge  bool
+	began  time.Time
+	cancel context.CancelFunc
+	slow   bool // its node has said that its upstream has turned slow
+	res    result
+}
+
+// state is the progress of a request at its entry node.
+type state struct {
+	q       *request
+	w       http.ResponseWriter
+	ctx     context.Context
+	ended   chan *try
+	slowed  chan *try
+	running []*try
+	avoid   map[string]bool
+	placed  int
+	bounced int
+	reached int // upstreams that the request was sent to
+	extra   int // tries taken from the budget
+	after   time.Duration
+	refused string
+	failed  *result // the last answer or failure that is not passed on yet
+	hedged  bool
+}
+
+// serve places the request until it is answered.
+func (q *request) serve(w http.ResponseWriter) {
+	ctx, cancel := context.WithDeadline(q.in.Context(), q.deadline)
+	defer cancel()
+	s := &state{
+		q: q, w: w, ctx: ctx, ended: make(chan *try, maxPlaced+1), slowed: make(chan *try, 1), avoid: make(map[string]bool),
+	}
+	q.g.budgets.First(q.account)
+	defer s.cancelAll()
+	if !s.place(nil) {
+		s.finish()
+		return
+	}
+	hedge := time.NewTimer(s.hedgeAfter())
+	defer hedge.Stop()
+	for {
+		select {
+		case t := <-s.ended:
+			if s.over(t) {
+				return
+			}
+		case <-s.slowed:
+			s.hedge("slowed")
+		case <-hedge.C:
+			s.hedge("late")
+			if !s.hedged && time.Now().Before(q.objective) {
+				hedge.Reset(max(time.Until(q.objective), time.Millisecond))
+			}
+		case <-ctx.Done():
+			s.expired()
+			return
+		}
+	}
+}
+
+func (s *state) cancelAll() {
+	for _, t := range s.running {
+		t.cancel()
+	}
+}
+
+// expired ends a request whose caller has left, or whose time is up.
+func (s *state) expired() {
+	g := s.q.g
+	if s.q.in.Context().Err() != nil {
+		g.stats.count("caller_left")
+		panic(http.ErrAbortHandler) // nobody reads an answer
+	}
+	g.reply(s.w, s.q.in, s.q, http.StatusGatewayTimeout, mulberrylink.Unknown, mulberrylink.ReasonDeadline.String(), 0)
+}
+
+// over takes a try that has ended and reports whether the request has been
+// answered.
+func (s *state) over(t *try) bool {
+	g, now := s.q.g, time.Now()
+	for i, r := range s.running {
+		if r == t {
+			s.running = append(s.running[:i], s.running[i+1:]...)
+			break
+		}
+	}
+	g.board.Ended(t.node.Name)
+	t.cancel()
+	s.learn(t, now)
+	res := &t.res
+	switch {
+	case res.reply.Refused != "":
+		s.refused, s.after = res.reply.Refused, pickAfter(s.after, res.reply.After)
+		if res.reply.Refused == slower {
+			s.bounced++
+		}
+		s.avoid[t.node.Name] = true
+		if len(s.running) > 0 || s.place(nil) {
+			return false
+		}
+		return s.finish()
+	case res.ans != nil && !res.reply.NotRun && (res.ans.Status < http.StatusInternalServerError || s.q.route.Kind != routes.Safe):
+		s.deliver(t)
+		return true
+	}
+	// It failed, or the upstream did not run it.
+	s.failed.close()
+	s.failed = res
+	s.avoid[t.node.Name] = true
+	if len(s.running) > 0 {
+		return false
+	}
+	if (res.reply.NotRun || s.q.route.Kind == routes.Safe) && s.mayRetry() && s.place(nil) {
+		g.stats.count("retried")
+		return false
+	}
+	return s.finish()
+}
+
+func (r *result) close() {
+	if r != nil {
+		r.ans.Close()
+	}
+}
+
+func pickAfter(old, now time.Duration) time.Duration {
+	if old == 0 || now > 0 && now < old {
+		return now
+	}
+	return old
+}
+
+// mayRetry takes one more try from the budget.
+func (s *state) mayRetry() bool {
+	if s.reached >= s.q.route.Tries || !s.q.replayable() {
+		return false
+	}
+	if !s.q.g.budgets.Hedge(&mulberrylink.Request{Service: s.q.service, Idempotent: true, Deadline: s.q.deadline}, s.extra) {
+		s.q.g.stats.count("retry_denied")
+		return false
+	}
+	s.extra++
+	return true
+}
+
+// finish answers a request that no try has answered.
+func (s *state) finish() bool {
+	g, q := s.q.g, s.q
+	switch f := s.failed; {
+	case f != nil && f.ans != nil:
+		s.deliver(&try{res: *f})
+	case f != nil:
+		g.reply(s.w, q.in, q, http.StatusBadGateway, mulberrylink.Unknown, mulberrylink.ReasonLost.String(), 0)
+	default:
+		after := s.after
+		if after == 0 {
+			after = noRoom
+		}
+		reason := s.refused
+		if reason == "" {
+			reason = mulberrylink.ReasonNoUpstream.String()
+		}
+		g.reply(s.w, q.in, q, http.StatusServiceUnavailable, mulberrylink.NotRun, reason, after)
+	}
+	return true
+}
+
+// deliver passes an answer on to the caller.
+func (s *state) deliver(t *try) {
+	q := s.q
+	s.cancelAll()
+	s.running = nil
+	took := time.Since(q.began)
+	q.g.stats.latency("answered_us."+q.route.Kind.String(), took)
+	ans := t.res.ans
+	defer ans.Close()
+	if ans.Status >= http.StatusBadRequest {
+		q.g.log.Info().Str("request", q.id).Str("route", q.route.Name).Int("status", ans.Status).Str("node", t.node.Name).
+			Dur("took", took).Bool("notrun", t.res.reply.NotRun).Int("placed", s.placed).Msg("failure of the upstream passed on")
+	} else {
+		q.g.stats.count("answered")
+		q.g.log.Debug().Str("request", q.id).Str("route", q.route.Name).Str("node", t.node.Name).Dur("took", took).
+			Dur("upstream", t.res.reply.Took).Float64("cost", t.choice.Cost).Float64("alternative", t.choice.Alternative).
+			Dur("age", t.choice.Age).Float64("factor", t.choice.Factor).Float64("factor_after", t.res.reply.Load.Factor).
+			Int("placed", s.placed).Bool("hedge", t.hedge).Msg("answered")
+	}
+	if t.res.reply.Took > 0 {
+		q.g.sizes.Observe(q.route.Name, time.Duration(float64(len(ans.Body)+int(q.length))/1024*float64(time.Second)), 1)
+	}
+	copyAnswer(s.w, ans, "")
+}
+
+// learn takes what a try tells about the upstream and its node.
+func (s *state) learn(t *try, now time.Time) {
+	g := s.q.g
+	res := &t.res
+	if res.reply.Epoch != "" && !t.local {
+		g.epochs.set(t.node.Name, res.reply.Epoch)
+	}
+	if res.reply.Epoch != "" {
+		g.board.Report(t.node.Name, res.reply.Load, now)
+	}
+	switch {
+	case res.reply.Refused == lostNode:
+		wait := g.board.Lost(t.node.Name, now)
+		g.log.Warn().Str("request", s.q.id).Str("node", t.node.Name).Str("addr", t.node.Addr).
+			Dur("pause", wait).Err(res.failure).Msg("node not reached")
+	case res.reply.Refused != "":
+		if res.reply.Refused != slower {
+			g.board.Refused(t.node.Name, now)
+		}
+		g.log.Debug().Str("request", s.q.id).Str("node", t.node.Name).Str("reason", res.reply.Refused).
+			Float64("cost", t.choice.Cost).Float64("alternative", t.choice.Alternative).Msg("placed again")
+	default:
+		if !res.reply.NotRun && (res.failure == nil || s.ctx.Err() == nil) {
+			failed := res.failure != nil || res.ans.Status >= http.StatusInternalServerError
+			g.board.Outcome(t.node.Name, failed, now)
+			if !failed && !t.local {
+				g.works.Observe(s.q.route.Name, res.reply.Took, res.reply.Load.Factor)
+			}
+		}
+		if res.failure != nil {
+			g.log.Warn().Str("request", s.q.id).Str("route", s.q.route.Name).Str("node", t.node.Name).
+				Dur("took", now.Sub(t.began)).Err(res.failure).Msg("try failed")
+		}
+	}
+}
+
+// reply answers with what the node itself says.
+func (g *Gateway) reply(w http.ResponseWriter, r *http.Request, q *request, status int, o mulberrylink.Outcome, reason string, after time.Duration) {
+	g.stats.count("refused." + reason)
+	h := w.Header()
+	h["Content-Type"] = nil
+	if id := g.cfg.Dialect.RequestID(r.Header); id != "" {
+		h.Set("Request-Id", id)
+	}
+	h.Set(headerOutcome, o.String())
+	h.Set(headerReason, reason)
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	setLength(h, 0)
+	e := g.log.Info().Str("request", g.cfg.Dialect.RequestID(r.Header)).Int("status", status).Str("outcome", o.String()).
+		Str("reason", reason).Dur("after", after)
+	if q != nil {
+		e = e.Str("route", q.route.Name).Str("service", q.service).Uint64("version", q.view.state.Version).
+			Dur("held", time.Since(q.began)).Dur("left", time.Until(q.deadline))
+	} else {
+		e = e.Str("host", r.Host).Str("path", r.URL.Path)
+	}
+	e.Msg("request not answered by an upstream")
+	w.WriteHeader(status)
+}
+
+func setLength(h http.Header, n int64) { h.Set("Content-Length", strconv.FormatInt(n, 10)) }
+
+// askFor returns what another node is told about a try.
+func (s *state) askFor(t *try, now time.Time) hop.Ask {
+	q := s.q
+	a := hop.Ask{
+		ID:      fmt.Sprintf("%s-%s-%d", q.g.cfg.Name, q.g.epoch, q.g.next.Add(1)),
+		Service: q.service, Route: q.route.Name, Kind: q.route.Kind, Caller: q.g.upstream.current().Service,
+		Priority: q.route.Priority, Objective: q.objective.Sub(now), Timeout: q.deadline.Sub(now), Work: q.work,
+	}
+	if s.bounced < maxBounced {
+		a.Elsewhere = t.choice.Alternative
+	}
+	return a
+}
--- /dev/null
+++ b/gateway/try.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/capacity"
+	"github.com/mulberrylink/mulberrylink/coordination/placement"
+	"github.com/mulberrylink/mulberrylink/coordination/routes"
+	"github.com/mulberrylink/mulberrylink/protocol/hop"
+	"github.com/mulberrylink/mulberrylink/transport/exchange"
+)
+
+// lostNode is the refusal of a node that could not be reached.
+const lostNode = "lostnode"
+
+var slower = capacity.Slower.String()
+
+const (
+	// waitBody is the size from which a body is sent to another node only after
+	// that node has admitted the request.
+	waitBody = 8 << 10
+	// hedgeSpread is how many times its mean work a request may take before a
+	// second try is considered.
+	hedgeSpread = 1.7
+	// hedgeCost is the largest expected cost of a second try.
+	hedgeCost = 0.6
+	// slowFactor is the slowdown at which a running request is worth a second
+	// try at once.
+	slowFactor = 2.0
+	// resolveTime bounds a question about a lost exchange.
+	resolveTime = time.Second
+)
+
+// candidates returns the upstreams that may be chosen.
+func (s *state) candidates() (all []placement.Candidate, nodes map[string]mulberrylink.Node) {
+	g := s.q.g
+	list := g.dir.Service(s.q.service)
+	nodes = make(map[string]mulberrylink.Node, len(list))
+	view := g.view.Load()
+	local := false
+	add := func(n mulberrylink.Node) {
+		if view.state.IsOut(n.Domain) {
+			return
+		}
+		nodes[n.Name] = n
+		all = append(all, placement.Candidate{
+			Name: n.Name, Domain: n.Domain, Slots: n.Slots, Cold: n.Upstream == mulberrylink.UpstreamCold, Local: n.Name == g.cfg.Name,
+		})
+	}
+	for _, n := range list {
+		if n.Name == g.cfg.Name {
+			continue
+		}
+		if n.Usable() {
+			add(n)
+		}
+	}
+	if b := g.upstream.current(); !local && b.Service == s.q.service {
+		if n := g.upstream.record(); n.Upstream == mulberrylink.UpstreamUp || n.Upstream == mulberrylink.UpstreamCold {
+			add(n)
+			g.board.Report(n.Name, g.gate.Load(), time.Now())
+		}
+	}
+	return all, nodes
+}
+
+// place starts a try at the best upstream that is left. It returns false when
+// there is none.
+func (s *state) place(limit *float64) bool {
+	g, q := s.q.g, s.q
+	now := time.Now()
+	if s.placed >= maxPlaced || s.placed > 0 && !q.replayable() {
+		return false
+	}
+	all, nodes := s.candidates()
+	c, ok := g.board.Choose(now, &placement.Ask{
+		Work: q.work, Objective: q.objective, Deadline: q.deadline, Avoid: s.avoid,
+		KiB: headerKiB + g.sizes.MeanOr(q.route.Name, time.Duration(float64(q.length)/1024*float64(time.Second))).Seconds(),
+	}, all)
+	if !ok || limit != nil && c.Cost > *limit {
+		return false
+	}
+	s.placed++
+	t := &try{node: nodes[c.Name], local: c.Name == g.cfg.Name, choice: c, began: now, hedge: limit != nil}
+	ctx, cancel := context.WithCancel(s.ctx)
+	t.cancel = cancel
+	s.running = append(s.running, t)
+	g.board.Sent(c.Name)
+	ask := s.askFor(t, now)
+	go func() {
+		if t.local {
+			s.runLocal(ctx, t, ask)
+		} else {
+			s.runPeer(ctx, t, ask)
+		}
+		if t.res.ran() {
+			s.q.g.stats.count("sent")
+		}
+		s.ended <- t
+	}()
+	s.reached++
+	return true
+}
+
+// hedgeAfter returns when a second try is considered.
+func (s *state) hedgeAfter() time.Duration {
+	return time.Duration(hedgeSpread*float64(s.q.work)) + s.q.g.cfg.Tuning.Hop
+}
+
+// hedge starts a second try of a request that may be repeated and is late, if
+// another upstream can still finish it in time.
+func (s *state) hedge(cause string) {
+	q := s.q
+	if q.route.Kind != routes.Safe || s.hedged || len(s.running) != 1 || s.reached >= q.route.Tries {
+		return
+	}
+	first := s.running[0]
+	s.avoid[first.node.Name] = true
+	limit := hedgeCost
+	all, _ := s.candidates()
+	if len(all) < 2 {
+		return
+	}
+	if !s.mayRetry() {
+		return
+	}
+	if s.place(&limit) {
+		s.hedged = true
+		q.g.stats.count("hedged." + cause)
+	}
+}
+
+// notice is called when the node of a running try reports its load.
+func (s *state) notice(t *try, l placement.Load) {
+	s.q.g.board.Report(t.node.Name, l, time.Now())
+	if l.Factor >= slowFactor {
+		select {
+		case s.slowed <- t:
+		default:
+		}
+	}
+}
+
+// runLocal runs a try on the own upstream.
+func (s *state) runLocal(ctx context.Context, t *try, ask hop.Ask) {
+	g, q := s.q.g, s.q
+	woken, cancel := g.alerts.subscribe()
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-woken:
+				s.notice(t, g.gate.Load())
+			}
+		}
+	}()
+	t.res = g.admit(ctx, &work{
+		ask: ask, method: q.in.Method, target: q.in.RequestURI, host: q.in.Host, header: q.header,
+		body: q.reader(), length: q.length, objective: q.objective, deadline: q.deadline,
+	})
+	close(done)
+}
+
+// runPeer sends a try to the node beside the upstream.
+func (s *state) runPeer(ctx context.Context, t *try, ask hop.Ask) {
+	g, q := s.q.g, s.q
+	header := q.header.Clone()
+	header.Set(hop.Header, ask.Encode())
+	call := &exchange.Call{
+		Addr: t.node.Addr, Method: q.in.Method, Target: q.in.RequestURI, Host: q.in.Host, Header: header,
+		Body: q.reader(), Length: q.length, Deadline: q.deadline.Add(answerSlack), Silence: silentTime,
+		Interim: func(h http.Header) {
+			if reply, err := hop.ParseReply(h.Get(hop.Header)); err == nil {
+				s.notice(t, reply.Load)
+			}
+		},
+	}
+	if q.length < 0 || q.length > waitBody {
+		call.Wait, call.Silence = true, 0
+	}
+	ans, err := g.peers.Do(ctx, call)
+	if err == nil {
+		t.res = g.peerResult(ans)
+		return
+	}
+	var f *exchange.Failure
+	switch {
+	case errors.As(err, &f) && f.Stage == exchange.NotSent:
+		t.res = result{reply: hop.Reply{Refused: lostNode}, failure: err}
+	case ctx.Err() != nil || ask.Kind == routes.Safe:
+		g.peers.Drop(t.node.Addr)
+		t.res = result{failure: err}
+	default:
+		g.peers.Drop(t.node.Addr)
+		t.res = g.resolveLost(ctx, t, ask.ID, err)
+	}
+}
+
+// peerResult reads the answer of another node.
+func (g *Gateway) peerResult(ans *exchange.Answer) result {
+	reply, err := hop.ParseReply(ans.Header.Get(hop.Header))
+	switch {
+	case err != nil:
+		ans.Close()
+		return result{failure: err}
+	case reply.Refused != "":
+		ans.Close()
+		return result{reply: reply}
+	case reply.Bad:
+		ans.Close()
+		return result{reply: reply, failure: errPeerFailed}
+	}
+	return result{reply: reply, ans: ans}
+}
+
+var errPeerFailed = errors.New("the exchange with the upstream failed at its node")
+
+// resolveLost asks the node what became of a request whose connection was lost.
+// Only the process that was sent the request knows: another one that runs there
+// now proves nothing.
+func (g *Gateway) resolveLost(ctx context.Context, t *try, id string, cause error) result {
+	known := g.epochs.get(t.node.Name)
+	ctx, cancel := context.WithTimeout(ctx, resolveTime)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	ans, err := g.peers.Do(ctx, &exchange.Call{
+		Addr: t.node.Addr, Method: http.MethodGet, Target: hop.ResolvePath + id, Host: t.node.Addr,
+		Header: http.Header{}, Deadline: deadline, Fresh: true,
+	})
+	g.log.Info().Str("request", id).Str("node", t.node.Name).Bool("answered", err == nil).AnErr("cause", cause).Msg("exchange lost")
+	if err != nil {
+		return result{failure: cause}
+	}
+	res := g.peerResult(ans)
+	if known == "" || res.reply.Epoch != known {
+		res.ans.Close()
+		return result{failure: cause}
+	}
+	return res
+}
--- /dev/null
+++ b/protocol/feed/doc.go
@@ -0,0 +1,78 @@
+// Package feed keeps nodes and control hosts informed: a node tells one control
+// host about itself, and the control host passes on the records of all other
+// nodes, the committed document, the failure domains that are out of service and
+// the addresses of the control hosts. Control hosts follow one another in the
+// same way, so that each knows every node.
+//
+// One drpc stream carries both directions. Either side sends an empty message
+// when it has been quiet for beatInterval, and leaves the stream when the other
+// side has been quiet for silentTime: a connection whose path has gone silent
+// shows nothing else. A control host that is not in touch with a leader says so,
+// and its subscribers move to another one.
+//
+// # Usage
+//
+// On a control host:
+//
+//	hub := feed.NewHub(feed.HubConfig{Directory: d, Source: machine.Current, …})
+//	method, h := hub.Method()
+//	server.Handle(method, h)
+//
+// On a node:
+//
+//	c := feed.NewClient(feed.ClientConfig{Pool: pool, Seeds: seeds, Directory: d, Adopt: adopt})
+//	c.Announce(node)
+//	go c.Run(ctx)
+package feed
+
+import (
+	"time"
+
+	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/document"
+)
+
+const (
+	methodWatch = "feed/watch"
+
+	// beatInterval is how often a quiet side sends. Four of them fit into the
+	// two seconds within which a committed change has to be in force.
+	beatInterval = 500 * time.Millisecond
+	// silentTime ends a stream: two beats may be lost or late.
+	silentTime = 1300 * time.Millisecond
+	// graceTime is how long the record of a node stays after its stream has
+	// ended, so that a node may move to another control host unnoticed.
+	graceTime = 2 * time.Second
+	// dialPause is the wait before the next control host is tried.
+	dialPause = 100 * time.Millisecond
+	// settleTime collects changes that come together into one message.
+	settleTime = 10 * time.Millisecond
+)
+
+// upMessage goes from a subscriber to a control host.
+type upMessage struct {
+	// Node is the record of the subscriber, when it has one and it changed.
+	Node *mulberrylink.Node `cbor:"n,omitempty"`
+	// Host is the name of a subscribing control host, in the first message.
+	Host string `cbor:"h,omitempty"`
+	// Version and Serial tell in the first message what the subscriber has.
+	Version uint64 `cbor:"v,omitempty"`
+	Serial  uint64 `cbor:"s,omitempty"`
+}
+
+// downMessage goes from a control host to a subscriber.
+type downMessage struct {
+	Nodes []mulberrylink.Node `cbor:"n,omitempty"`
+	// Full is the whole state, Change what leads to it from the subscriber's
+	// version. Out and Serial come along with either, or alone.
+	Full   *document.State  `cbor:"f,omitempty"`
+	Change *document.Change `cbor:"c,omitempty"`
+	Out    []string         `cbor:"o,omitempty"`
+	Serial uint64           `cbor:"s,omitempty"`
+	// Hosts are the addresses of the control hosts, when they changed.
+	Hosts []string `cbor:"h,omitempty"`
+	// Behind is true while this control host is not in touch with a leader.
+	Behind bool `cbor:"b,omitempty"`
+	// Raise is the incarnation that the subscriber's record has to exceed.
+	Raise uint64 `cbor:"r,omitempty"`
+}
--- /dev/null
+++ b/protocol/hop/hop.go
@@ -0,0 +1,157 @@
+// Package hop is the header in which nodes talk about a request that one of
+// them sends to another: the entry node says what it knows of the request and of
+// the alternatives, and the node beside the upstream answers with its load and,
+// when it refuses, why. The request itself and its answer travel as HTTP.
+//
+// # Usage
+//
+//	req.Header.Set(hop.Header, hop.Ask{ID: id, Service: "archive", …}.Encode())
+//	ask, err := hop.ParseAsk(r.Header.Get(hop.Header))
+//	w.Header().Set(hop.Header, hop.Reply{Load: gate.Load(), Refused: "full"}.Encode())
+package hop
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberrylink/mulberrylink/coordination/placement"
+	"github.com/mulberrylink/mulberrylink/coordination/routes"
+)
+
+// Header carries an Ask or a Reply. It is removed before a request reaches an
+// upstream and before an answer reaches a caller.
+const Header = "Mulberry-Hop"
+
+// ResolvePath asks for the outcome of an exchange whose connection was lost.
+const ResolvePath = "/-/mulberry/exchange/"
+
+// Ask is what an entry node says of a request.
+type Ask struct {
+	// ID identifies the exchange. It is unique in the deployment.
+	ID      string
+	Service string
+	Route   string
+	Kind    routes.Kind
+	// Caller is the service beside the entry node.
+	Caller   string
+	Priority int
+	// Objective, Timeout and Work count in milliseconds from the sending.
+	Objective, Timeout, Work time.Duration
+	// Elsewhere is the cost expected at the best other upstream, 0 for none.
+	Elsewhere float64
+}
+
+const fields = 9
+
+// Encode returns the value of the header.
+func (a Ask) Encode() string {
+	var b strings.Builder
+	for _, s := range []string{
+		a.ID, a.Service, a.Route, strconv.Itoa(int(a.Kind)), a.Caller, strconv.Itoa(a.Priority),
+		millis(a.Objective) + "," + millis(a.Timeout), millis(a.Work),
+		strconv.FormatFloat(a.Elsewhere, 'f', 3, 64),
+	} {
+		if b.Len() > 0 {
+			b.WriteByte(';')
+		}
+		b.WriteString(s)
+	}
+	return b.String()
+}
+
+func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// ParseAsk reads the header of a request.
+func ParseAsk(text string) (Ask, error) {
+	p := strings.Split(text, ";")
+	if len(p) != fields {
+		return Ask{}, errors.Newf("%d fields instead of %d", len(p), fields)
+	}
+	r := reader{}
+	objective, timeout, _ := strings.Cut(p[6], ",")
+	a := Ask{
+		ID: p[0], Service: p[1], Route: p[2], Kind: routes.Kind(r.int(p[3])), Caller: p[4],
+		Priority: r.int(p[5]), Objective: r.millis(objective), Timeout: r.millis(timeout),
+		Work: r.millis(p[7]), Elsewhere: r.float(p[8]),
+	}
+	return a, errors.Wrap(r.err, "hop header")
+}
+
+// Reply is what the node beside the upstream says.
+type Reply struct {
+	Load placement.Load
+	// Refused is the reason why the request did not reach the upstream, empty
+	// when it did.
+	Refused string
+	// After is when there will be room, with a refusal.
+	After time.Duration
+	// Took is the time that the upstream took.
+	Took time.Duration
+	// NotRun is true when the upstream itself says that it did not run the
+	// request; Bad when its answer was unusable.
+	NotRun, Bad bool
+	// Epoch identifies the process of the node, which remembers exchanges.
+	Epoch string
+}
+
+// Encode returns the value of the header.
+func (r Reply) Encode() string {
+	flags := 0
+	for i, f := range []bool{r.Load.Cold, r.NotRun, r.Bad} {
+		if f {
+			flags |= 1 << i
+		}
+	}
+	return strings.Join([]string{
+		strconv.Itoa(r.Load.Running) + "," + strconv.Itoa(r.Load.Waiting) + "," + strconv.Itoa(r.Load.Slots),
+		strconv.FormatFloat(r.Load.Factor, 'f', 2, 64), strconv.FormatFloat(r.Load.Failing, 'f', 2, 64),
+		strconv.Itoa(flags), millis(r.Took), r.Refused, millis(r.After), r.Epoch,
+	}, ";")
+}
+
+// ParseReply reads the header of an answer.
+func ParseReply(text string) (Reply, error) {
+	p := strings.Split(text, ";")
+	if len(p) != 8 {
+		return Reply{}, errors.Newf("hop header with %d fields", len(p))
+	}
+	counts := strings.Split(p[0], ",")
+	if len(counts) != 3 {
+		return Reply{}, errors.New("hop header without counts")
+	}
+	r := reader{}
+	flags := r.int(p[3])
+	out := Reply{
+		Load: placement.Load{
+			Running: r.int(counts[0]), Waiting: r.int(counts[1]), Slots: r.int(counts[2]),
+			Factor: r.float(p[1]), Failing: r.float(p[2]), Cold: flags&1 != 0,
+		},
+		NotRun: flags&2 != 0, Bad: flags&4 != 0,
+		Took: r.millis(p[4]), Refused: p[5], After: r.millis(p[6]), Epoch: p[7],
+	}
+	return out, errors.Wrap(r.err, "hop header")
+}
+
+// reader keeps the first error of several conversions.
+type reader struct{ err error }
+
+func (r *reader) int(s string) int {
+	n, err := strconv.Atoi(s)
+	if err != nil && r.err == nil {
+		r.err = err
+	}
+	return n
+}
+
+func (r *reader) float(s string) float64 {
+	x, err := strconv.ParseFloat(s, 64)
+	if err != nil && r.err == nil {
+		r.err = err
+	}
+	return x
+}
+
+func (r *reader) millis(s string) time.Duration { return time.Duration(r.int(s)) * time.Millisecond }
--- a/state/settings/decode.go
+++ b/state/settings/decode.go
@@ -25,22 +25,37 @@
 func Decode(f *File, v any) error {
 	d := decoder{file: f}
 	root := reflect.ValueOf(v).Elem()
-	known := sectionNames(root.Type())
+	sections := make(map[string]reflect.Value)
+	collect(root, sections)
+	known := make(map[string]int, len(sections))
+	for name := range sections {
+		known[name] = 0
+	}
 	for _, s := range f.Sections {
 		if _, ok := known[s.Name]; !ok {
 			d.fail(s.Line, s.Name, "", "unknown section"+Suggest(s.Name, keysOf(known)))
 		}
 	}
-	for i := range root.NumField() {
-		s, _ := f.Section(root.Type().Field(i).Tag.Get("ini"))
-		if s.Name == "" {
-			s.Name = root.Type().Field(i).Tag.Get("ini")
-		}
-		d.section(s, root.Field(i))
+	for _, name := range keysOf(known) {
+		s, _ := f.Section(name)
+		s.Name = name
+		d.section(s, sections[name])
 	}
 	return errors.Join(d.problems...)
 }
 
+// collect finds the sections of a struct and of the structs embedded in it,
+// which programs use for the sections that they share.
+func collect(v reflect.Value, sections map[string]reflect.Value) {
+	for i := range v.NumField() {
+		if f := v.Type().Field(i); f.Anonymous {
+			collect(v.Field(i), sections)
+		} else {
+			sections[f.Tag.Get("ini")] = v.Field(i)
+		}
+	}
+}
+
 // DecodeSection stores the keys of s in the struct that v points to and
 // returns every problem it finds.
 func DecodeSection(file string, s Section, v any) []error {
