--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -75,6 +75,8 @@
 	store   atomic.Pointer[store]
 	joiners joiners
 	peers   peers
+	seedMu  sync.Mutex
+	seeds   []string // named by the settings since the start
 	done    sync.WaitGroup
 }
 
--- a/controlhost/group.go
+++ b/controlhost/group.go
@@ -126,6 +126,11 @@
 	defer tick.Stop()
 	lonely := time.Now()
 	known := slices.Clone(h.cfg.Seeds)
+	seeds := func() {
+		h.seedMu.Lock()
+		defer h.seedMu.Unlock()
+		known = appendNew(known, h.seeds)
+	}
 	for i := 0; ; i++ {
 		select {
 		case <-ctx.Done():
@@ -139,11 +144,29 @@
 			if !blank && now.Sub(lonely) < lonelyTime {
 				continue
 			}
+			seeds()
 			known = h.ask(ctx, &st, blank, known)
 		}
 	}
 }
 
+// Seeds adds addresses to ask, because the settings name others now.
+func (h *Host) Seeds(addrs []string) {
+	h.seedMu.Lock()
+	defer h.seedMu.Unlock()
+	h.seeds = appendNew(h.seeds, addrs)
+}
+
+// appendNew appends the addresses that are not in the list yet.
+func appendNew(list, addrs []string) []string {
+	for _, a := range addrs {
+		if !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // ask asks every known host once and returns the hosts known then.
 func (h *Host) ask(ctx context.Context, st *quorum.State, blank bool, known []string) []string {
 	var mu sync.Mutex
@@ -151,9 +174,7 @@
 	removed := false
 	found := slices.Clone(known)
 	for _, m := range st.Members {
-		if !slices.Contains(found, m.Addr) {
-			found = append(found, m.Addr)
-		}
+		found = appendNew(found, []string{m.Addr})
 	}
 	for _, addr := range slices.Clone(found) {
 		if addr == h.cfg.Addr {
@@ -167,11 +188,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			for _, a := range out.Hosts {
-				if !slices.Contains(found, a) {
-					found = append(found, a)
-				}
-			}
+			found = appendNew(found, out.Hosts)
 			removed = removed || out.Leads && !out.Member
 		})
 	}
