Renew an old load report before a request is admitted

Cause: a third of the requests that were late had been sent to a host that had turned slow since its last report. Health requests next door take a millisecond.

--- a/coordination/placement/board.go
+++ b/coordination/placement/board.go
@@ -70,8 +70,9 @@
 	Work time.Duration
 	// Objective is when the answer loses most of its use, Deadline when all.
 	Objective, Deadline time.Time
-	// KiB is the size of request and answer.
-	KiB float64
+	// KiB is the size of request and answer, and Worth that of the answer in
+	// units of one request answered in time.
+	KiB, Worth float64
 	// Avoid names candidates that refused or failed this request already.
 	Avoid map[string]bool
 }
@@ -167,7 +168,7 @@
 	charge := 0.0
 	if c.Domain != b.set.Domain {
 		hop = b.set.Hop
-		charge = ask.KiB * b.set.Transfer
+		charge = ask.KiB * b.set.Transfer / max(ask.Worth, 0.1)
 	}
 	// What the report counted has partly ended since, and what was sent from
 	// here may be part of it: the larger of the two is the better guess.
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -71,6 +71,7 @@
 	if b.Service != w.ask.Service || b.ID == "" {
 		return g.refusal(refusedNoService, 0)
 	}
+	g.upstream.refresh(ctx)
 	queued := time.Now()
 	ticket, refusal := g.gate.Enter(ctx, &capacity.Ask{
 		Work: w.ask.Work, Priority: w.ask.Priority, Objective: w.objective, Deadline: w.deadline, Elsewhere: w.ask.Elsewhere,
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -133,6 +133,9 @@
 	// RetryRefill the interval at which one more try is allowed in addition.
 	RetryPercent int
 	RetryRefill  time.Duration
+	// Once is the worth of a request that may run at most once, relative to one
+	// that may be repeated.
+	Once float64
 	// WarmRate scales the rate that cold upstreams are sent.
 	WarmRate float64
 }
@@ -153,6 +156,7 @@
 	feed     *feed.Client
 	view     atomic.Pointer[view]
 	leaving  atomic.Bool
+	leaveAt  atomic.Pointer[time.Time] // when a leaving process must have ended
 	next     atomic.Uint64
 	splits   *routes.Splits
 	board    *placement.Board
@@ -266,16 +270,30 @@
 	// leaveTime is how long a leaving node stays at least: callers are told by
 	// the second of two failed checks, one second apart.
 	leaveTime = 2500 * time.Millisecond
+	// refuseTime before the process must have ended, callers are refused: their
+	// requests might not be finished.
+	refuseTime = 3400 * time.Millisecond
 	// leaveSlack is kept between the last answer and the end of the grace time.
 	leaveSlack = 600 * time.Millisecond
 	// leaveInterval is how often a leaving node looks for open requests.
 	leaveInterval = 50 * time.Millisecond
 )
 
+// leavesIn returns how long the process still runs, a long time while it does
+// not leave.
+func (g *Gateway) leavesIn(now time.Time) time.Duration {
+	if at := g.leaveAt.Load(); at != nil {
+		return at.Sub(now)
+	}
+	return time.Hour
+}
+
 // Leave ends the node in order: it takes no more work of other nodes, goes on
 // serving callers that do not know yet, and returns when nothing is open.
 func (g *Gateway) Leave(ctx context.Context) {
 	began := time.Now()
+	end := began.Add(g.cfg.Grace - leaveSlack)
+	g.leaveAt.Store(&end)
 	g.leaving.Store(true)
 	g.log.Info().Int64("callers", g.outbound.Active()).Int64("peers", g.inbound.Active()).Msg("node leaving")
 	g.upstream.publish()
@@ -283,15 +301,15 @@
 	g.inbound.Drain()
 	for ctx.Err() == nil {
 		open := g.outbound.Active() + g.inbound.Active()
-		if took := time.Since(began); took > g.cfg.Grace-leaveSlack || took > leaveTime && open == 0 {
+		if now := time.Now(); now.After(end) || now.Sub(began) > leaveTime && open == 0 {
 			break
 		}
 		time.Sleep(leaveInterval)
 	}
-	end, cancel := context.WithTimeout(ctx, leaveSlack/2)
+	ctx, cancel := context.WithTimeout(ctx, leaveSlack/2)
 	defer cancel()
 	for _, s := range []*ingress.Server{g.outbound, g.inbound} {
-		if err := s.Close(end); err != nil {
+		if err := s.Close(ctx); err != nil {
 			g.log.Warn().Err(err).Msg("requests were open at the end of the grace time")
 		}
 	}
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -33,8 +33,8 @@
 	noRoom = 250 * time.Millisecond
 	// maxPlaced bounds how often one request is placed, and maxBounced how often
 	// because another upstream is faster.
-	maxPlaced  = 6
-	maxBounced = 2
+	maxPlaced  = 8
+	maxBounced = 3
 )
 
 // Words of Mulberry-Reason for answers that the node makes itself.
@@ -70,6 +70,10 @@
 		g.reply(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, refusedNoConfig, noRoom)
 		return
 	}
+	if left := g.leavesIn(now); left < refuseTime {
+		g.reply(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, refusedLeaving, max(left, noRoom))
+		return
+	}
 	route := v.table.Match(r.Host, r.RequestURI)
 	if route == nil {
 		g.reply(w, r, nil, http.StatusNotFound, mulberrylink.NotRun, mulberrylink.ReasonNoRoute.String(), 0)
@@ -246,10 +250,12 @@
 	switch {
 	case res.reply.Refused != "":
 		s.refused, s.after = res.reply.Refused, pickAfter(s.after, res.reply.After)
+		s.reached--
 		if res.reply.Refused == slower {
-			s.bounced++
+			s.bounced++ // its report keeps it from being chosen again, unless all are slow
+		} else {
+			s.avoid[t.node.Name] = true
 		}
-		s.avoid[t.node.Name] = true
 		if len(s.running) > 0 || s.place(nil) {
 			return false
 		}
@@ -340,7 +346,7 @@
 			Int("placed", s.placed).Bool("hedge", t.hedge).Msg("answered")
 	}
 	if t.res.reply.Took > 0 {
-		q.g.sizes.Observe(q.route.Name, time.Duration(float64(len(ans.Body)+int(q.length))/1024*float64(time.Second)), 1)
+		q.g.sizes.Observe(q.route.Name, time.Duration(float64(len(ans.Body))/1024*float64(time.Second)), 1)
 	}
 	copyAnswer(s.w, ans, "")
 }
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -78,8 +78,7 @@
 	}
 	all, nodes := s.candidates()
 	c, ok := g.board.Choose(now, &placement.Ask{
-		Work: q.work, Objective: q.objective, Deadline: q.deadline, Avoid: s.avoid,
-		KiB: headerKiB + g.sizes.MeanOr(q.route.Name, time.Duration(float64(q.length)/1024*float64(time.Second))).Seconds(),
+		Work: q.work, Objective: q.objective, Deadline: q.deadline, Avoid: s.avoid, KiB: q.kib(), Worth: q.worth(),
 	}, all)
 	if !ok || limit != nil && c.Cost > *limit {
 		return false
@@ -106,6 +105,18 @@
 	return true
 }
 
+// kib returns the size of the request and of the answer to expect.
+func (q *request) kib() float64 {
+	return headerKiB + float64(max(0, q.length))/1024 + q.g.sizes.MeanOr(q.route.Name, time.Second).Seconds()
+}
+
+func (q *request) worth() float64 {
+	if q.route.Kind == routes.Safe {
+		return 1
+	}
+	return q.g.cfg.Tuning.Once
+}
+
 // hedgeAfter returns when a second try is considered.
 func (s *state) hedgeAfter() time.Duration {
 	return time.Duration(hedgeSpread*float64(s.q.work)) + s.q.g.cfg.Tuning.Hop
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -17,7 +17,15 @@
 	// asked for its load: disturbances begin and end several times a second.
 	busyProbe = 60 * time.Millisecond
 	// idleProbe is that age without work.
-	idleProbe = 250 * time.Millisecond
+	idleProbe = 500 * time.Millisecond
+	// freshTime is the age up to which a report of the load decides about a
+	// request. An older one is renewed first: a health request next door takes
+	// a millisecond, and a request placed on a disturbed host is late.
+	freshTime = 35 * time.Millisecond
+	// freshWait bounds the wait for the report.
+	freshWait = 20 * time.Millisecond
+	// minWatch is the shortest pause between two looks at the age.
+	minWatch = 5 * time.Millisecond
 	// probeTime bounds one such request.
 	probeTime = 400 * time.Millisecond
 	// changedFactor is the change of the speed that running requests are told of.
@@ -48,6 +56,8 @@
 	reported  time.Time // of the newest report of its load
 	factor    float64
 	last      mulberrylink.Node
+	tells     bool          // its answers tell the load
+	renewing  chan struct{} // closed when the probe under way ends
 	probeNow  chan struct{}
 }
 
@@ -185,7 +195,7 @@
 	publish := false
 	before := u.factor
 	if s.Factor > 0 {
-		u.reported, u.factor = now, s.Factor
+		u.reported, u.factor, u.tells = now, s.Factor, true
 	}
 	if s.WarmupKnown {
 		publish = (s.Warmup > 0) != now.Before(u.coldUntil)
@@ -213,6 +223,36 @@
 	}
 }
 
+// refresh renews the report of the load when it is too old to decide about a
+// request. Requests that come together share one probe.
+func (u *Upstream) refresh(ctx context.Context) {
+	u.mu.Lock()
+	if !u.tells || u.down || time.Since(u.reported) < freshTime {
+		u.mu.Unlock()
+		return
+	}
+	done := u.renewing
+	if done == nil {
+		done = make(chan struct{})
+		u.renewing = done
+		go func() {
+			u.probe(context.WithoutCancel(ctx))
+			u.mu.Lock()
+			u.renewing = nil
+			u.mu.Unlock()
+			close(done)
+		}()
+	}
+	u.mu.Unlock()
+	timer := time.NewTimer(freshWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // watch asks the upstream for its load when no answer has told it lately.
 func (u *Upstream) watch(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -234,9 +274,9 @@
 		u.mu.Unlock()
 		if age >= wait {
 			u.probe(ctx)
-			age = 0
+			age = 0 // a probe without an answer is not repeated at once
 		}
-		timer.Reset(max(wait-age, time.Millisecond))
+		timer.Reset(max(wait-age, minWatch))
 	}
 }
 
@@ -252,9 +292,6 @@
 		return
 	}
 	u.g.stats.count("probes")
-	u.mu.Lock()
-	u.reported = time.Now() // a probe without an answer is not repeated at once
-	u.mu.Unlock()
 	ans, err := u.g.backend.Do(ctx, &exchange.Call{
 		Addr: b.Addr, Method: "GET", Target: path, Host: b.Addr, Deadline: time.Now().Add(probeTime),
 	})
