--- a/coordination/capacity/gate.go
+++ b/coordination/capacity/gate.go
@@ -20,6 +20,8 @@
 	running  int
 	queue    []*waiter
 	admitted []time.Time // to a cold upstream, within rateWindow
+	knee     knee
+	limit    int // of running requests, at most the slots
 	factor   float64
 	factorAt time.Time
 	work     float64 // mean seconds of work
@@ -46,8 +48,10 @@
 func (g *Gate) Open(u Upstream) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.now()
 	g.up, g.open = u, true
-	g.dispatch(g.now())
+	g.limit = g.knee.limit(u.Slots, now)
+	g.dispatch(now)
 }
 
 // Close refuses new requests and those that wait.
@@ -61,11 +65,18 @@
 	g.queue = nil
 }
 
-// Speed takes a report of how much longer than usual work takes.
-func (g *Gate) Speed(factor float64) {
+// Speed takes a report of how much longer than usual work takes with so many
+// requests running.
+func (g *Gate) Speed(factor float64, running int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.factor, g.factorAt = factor, g.now()
+	now := g.now()
+	g.factor, g.factorAt = factor, now
+	g.knee.learn(running, factor, now)
+	if limit := g.knee.limit(g.up.Slots, now); limit != g.limit {
+		g.limit = limit
+		g.dispatch(now)
+	}
 }
 
 // Ended takes the time and outcome of a request that ran.
@@ -103,7 +114,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	return placement.Load{
-		Running: g.running, Waiting: len(g.queue), Slots: g.up.Slots,
+		Running: g.running, Waiting: len(g.queue), Slots: g.limit,
 		Factor: g.currentFactor(now), Failing: g.failShare(now), Cold: now.Before(g.up.ColdUntil),
 	}
 }
@@ -124,7 +135,7 @@
 		g.mu.Unlock()
 		return nil, r
 	}
-	if g.running < g.up.Slots && len(g.queue) == 0 {
+	if g.running < g.limit && len(g.queue) == 0 {
 		g.admit(now)
 		g.mu.Unlock()
 		return &Ticket{g: g}, Refusal{}
@@ -176,7 +187,7 @@
 	}
 	work := float64(ask.Work) * g.currentFactor(now)
 	wait := time.Duration(0)
-	if g.running >= g.up.Slots {
+	if g.running >= g.limit {
 		wait = g.drain(g.ahead(ask)+1, now)
 	}
 	finish := wait + time.Duration(work)
@@ -208,7 +219,7 @@
 // drain returns how long n requests take to leave when all slots are busy.
 func (g *Gate) drain(n int, now time.Time) time.Duration {
 	perSlot := g.work * g.currentFactor(now)
-	return time.Duration(float64(n) / float64(max(1, g.up.Slots)) * perSlot * float64(time.Second))
+	return time.Duration(float64(n) / float64(max(1, g.limit)) * perSlot * float64(time.Second))
 }
 
 func (g *Gate) insert(w *waiter) {
@@ -244,7 +255,7 @@
 
 // dispatch gives free slots to the queue.
 func (g *Gate) dispatch(now time.Time) {
-	for len(g.queue) > 0 && g.running < g.up.Slots {
+	for len(g.queue) > 0 && g.running < g.limit {
 		w := g.queue[0]
 		g.queue = g.queue[1:]
 		if _, ok := g.warming(now); !ok {
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -76,8 +76,9 @@
 	Identity string
 	// Factor is how much longer than usual work takes now, 0 when not told.
 	Factor float64
-	// Slots is the number of requests that it runs at a time, 0 when not told.
-	Slots int
+	// Running is the number of requests that it runs, with Factor. Slots is how
+	// many it runs at most, 0 when not told.
+	Running, Slots int
 	// Warmup is how long the upstream stays cold, when WarmupKnown.
 	Warmup      time.Duration
 	WarmupKnown bool
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -204,7 +204,7 @@
 	factor := u.factor
 	u.mu.Unlock()
 	if s.Factor > 0 {
-		u.g.gate.Speed(factor)
+		u.g.gate.Speed(factor, s.Running)
 		if factor > before*changedFactor {
 			u.g.alerts.raise()
 		}
