--- a/coordination/placement/board.go
+++ b/coordination/placement/board.go
@@ -25,6 +25,15 @@
 	failTime = 2 * time.Second
 	// waitWeight orders candidates that are all in time by how soon they are.
 	waitWeight = 0.15
+	// bounceCost and bounceTime are what a request loses that is placed again
+	// because its upstream turned out to be disturbed.
+	bounceCost = 0.05
+	// againCost is that loss at an upstream that was disturbed when it last
+	// reported and may be quiet again.
+	againCost = 0.15
+	// freshTime is the age up to which a report is taken as the present.
+	freshTime = 60 * time.Millisecond
+	bounceTime = 5 * time.Millisecond
 	// refusedTime is how long a refusal for lack of room keeps a candidate out.
 	refusedTime = 60 * time.Millisecond
 	// lostTime is how long a node that could not be reached is left alone, and
@@ -73,6 +82,9 @@
 	// KiB is the size of request and answer, and Worth that of the answer in
 	// units of one request answered in time.
 	KiB, Worth float64
+	// Bounces is true when a node may still refuse the request because another
+	// upstream is faster.
+	Bounces bool
 	// Avoid names candidates that refused or failed this request already.
 	Avoid map[string]bool
 }
@@ -182,6 +194,15 @@
 	reported, missReported := finish(load.Factor)
 	quiet, missQuiet := finish(1)
 	slow, missSlow := finish(disturbedFactor)
+	if ask.Bounces {
+		// The node beside the upstream looks first and refuses when it is
+		// disturbed; what that costs is the way there.
+		missSlow, slow = min(missSlow, missQuiet+bounceCost), quiet+hop+bounceTime
+		if out.Age > freshTime {
+			missReported = min(missReported, missQuiet+againCost)
+			reported = min(reported, slow)
+		}
+	}
 	prior := disturbedShare*missSlow + (1-disturbedShare)*missQuiet
 	miss := hold*missReported + (1-hold)*prior
 	mean := hold*float64(reported) + (1-hold)*((1-disturbedShare)*float64(quiet)+disturbedShare*float64(slow))
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -190,6 +190,9 @@
 		q: q, w: w, ctx: ctx, ended: make(chan *try, maxPlaced+1), slowed: make(chan *try, 1), avoid: make(map[string]bool),
 	}
 	q.g.budgets.First(q.account)
+	if q.g.upstream.current().Service == q.service {
+		q.g.upstream.refresh(ctx) // the choice compares the others with it
+	}
 	defer s.cancelAll()
 	if !s.place(nil) {
 		s.finish()
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -79,6 +79,7 @@
 	all, nodes := s.candidates()
 	c, ok := g.board.Choose(now, &placement.Ask{
 		Work: q.work, Objective: q.objective, Deadline: q.deadline, Avoid: s.avoid, KiB: q.kib(), Worth: q.worth(),
+		Bounces: s.bounced < maxBounced,
 	}, all)
 	if !ok || limit != nil && c.Cost > *limit {
 		return false
