Hold a request while the host is disturbed, and measure work by the pace at its start

Work was normalised by the pace at the end, so estimates were far too low and requests were started on disturbed hosts.

--- a/coordination/capacity/gate.go
+++ b/coordination/capacity/gate.go
@@ -73,19 +73,18 @@
 	now := g.now()
 	g.factor, g.factorAt = factor, now
 	g.knee.learn(running, factor, now)
-	if limit := g.knee.limit(g.up.Slots, now); limit != g.limit {
-		g.limit = limit
-		g.dispatch(now)
-	}
+	g.limit = g.knee.limit(g.up.Slots, now)
+	g.dispatch(now)
 }
 
-// Ended takes the time and outcome of a request that ran.
-func (g *Gate) Ended(took time.Duration, failed bool) {
+// Ended takes the outcome of a request that ran, and how long its work takes on
+// an undisturbed host.
+func (g *Gate) Ended(work time.Duration, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	if !failed {
-		g.work += workGain * (took.Seconds()/math.Max(1, g.factor) - g.work)
+		g.work += workGain * (work.Seconds() - g.work)
 	}
 	target := 0.0
 	if failed {
@@ -135,15 +134,16 @@
 		g.mu.Unlock()
 		return nil, r
 	}
-	if g.running < g.limit && len(g.queue) == 0 {
-		g.admit(now)
-		g.mu.Unlock()
-		return &Ticket{g: g}, Refusal{}
-	}
 	w := &waiter{ask: ask, result: make(chan Reason, 1)}
 	g.insert(w)
+	g.dispatch(now)
 	g.mu.Unlock()
-	return g.wait(ctx, w)
+	select {
+	case r := <-w.result:
+		return g.ended(r)
+	default:
+		return g.wait(ctx, w)
+	}
 }
 
 func (g *Gate) wait(ctx context.Context, w *waiter) (*Ticket, Refusal) {
@@ -185,15 +185,13 @@
 	if after, ok := g.warming(now); !ok {
 		return Refusal{Reason: Warming, After: after}
 	}
-	work := float64(ask.Work) * g.currentFactor(now)
 	wait := time.Duration(0)
 	if g.running >= g.limit {
 		wait = g.drain(g.ahead(ask)+1, now)
 	}
-	finish := wait + time.Duration(work)
+	miss, finish := placement.Expect(now, wait, ask.Work, g.currentFactor(now), ask.Objective, ask.Deadline)
 	if ask.Elsewhere > 0 {
-		own := 1 - (1-placement.Miss(now, finish, work, ask.Objective, ask.Deadline))*(1-g.failShare(now))
-		if own > ask.Elsewhere+bounceMargin {
+		if own := 1 - (1-miss)*(1-g.failShare(now)); own > ask.Elsewhere+bounceMargin {
 			return Refusal{Reason: Slower}
 		}
 	}
@@ -253,23 +251,59 @@
 	}
 }
 
-// dispatch gives free slots to the queue.
+// dispatch gives free slots to the queue. A request for which the host is too
+// slow at present stays, and others may pass it.
 func (g *Gate) dispatch(now time.Time) {
-	for len(g.queue) > 0 && g.running < g.limit {
-		w := g.queue[0]
-		g.queue = g.queue[1:]
-		if _, ok := g.warming(now); !ok {
-			w.result <- Warming
-			continue
+	keep := g.queue[:0]
+	for i, w := range g.queue {
+		if g.running >= g.limit {
+			keep = append(keep, g.queue[i:]...)
+			break
 		}
-		work := time.Duration(float64(w.ask.Work) * g.currentFactor(now))
-		if now.Add(work / 2).After(w.ask.Deadline) {
-			w.result <- Full // even a fast run would be too late
-			continue
+		switch g.verdict(now, w.ask) {
+		case waits:
+			keep = append(keep, w)
+		case hopeless:
+			w.result <- Full
+		case starts:
+			if _, ok := g.warming(now); !ok {
+				w.result <- Warming
+				continue
+			}
+			g.admit(now)
+			w.result <- Admitted
 		}
-		g.admit(now)
-		w.result <- Admitted
 	}
+	clear(g.queue[len(keep):])
+	g.queue = keep
+}
+
+// verdict says what to do with a request for which there is a slot.
+type verdict uint8
+
+const (
+	starts verdict = iota
+	waits
+	hopeless
+)
+
+// verdict decides on the pace of the host: work that starts on a disturbed host
+// is slow to its end.
+func (g *Gate) verdict(now time.Time, ask *Ask) verdict {
+	factor := g.currentFactor(now)
+	slow := now.Add(time.Duration(float64(ask.Work) * factor))
+	quiet := now.Add(ask.Work)
+	switch {
+	case now.Add(ask.Work / 2).After(ask.Deadline):
+		return hopeless // even a fast run would be too late
+	case !placement.Disturbed(factor) || slow.Before(ask.Objective):
+		return starts
+	case quiet.Before(ask.Objective):
+		return waits // it can still be in time when the host recovers
+	case slow.Before(ask.Deadline):
+		return starts
+	}
+	return waits
 }
 
 // Leave gives the slot back.
--- a/coordination/placement/board.go
+++ b/coordination/placement/board.go
@@ -186,10 +186,9 @@
 	// here may be part of it: the larger of the two is the better guess.
 	ahead := math.Max(hold*float64(load.Running+load.Waiting), float64(x.sent))
 	finish := func(factor float64) (time.Duration, float64) {
-		work := float64(ask.Work) * factor
-		wait := math.Max(0, ahead-float64(load.Slots)+1) / float64(load.Slots) * work
-		d := hop + time.Duration(work+wait)
-		return d, Miss(now, d, work, ask.Objective, ask.Deadline)
+		wait := math.Max(0, ahead-float64(load.Slots)+1) / float64(load.Slots) * float64(ask.Work) * factor
+		miss, d := Expect(now, hop+time.Duration(wait), ask.Work, factor, ask.Objective, ask.Deadline)
+		return d, miss
 	}
 	reported, missReported := finish(load.Factor)
 	quiet, missQuiet := finish(1)
--- a/coordination/worktime/worktime.go
+++ b/coordination/worktime/worktime.go
@@ -1,11 +1,10 @@
 // Package worktime estimates how long the requests of a route work on an
-// undisturbed upstream, from what answered requests took and how fast their
-// host was meanwhile.
+// undisturbed upstream.
 //
 // # Usage
 //
 //	w := worktime.New()
-//	w.Observe("orders", took, 1.0)
+//	w.Observe("orders", took)
 //	mean := w.Mean("orders")
 package worktime
 
@@ -31,10 +30,10 @@
 // New returns a table without estimates.
 func New() *Table { return &Table{mean: make(map[string]float64)} }
 
-// Observe records that a request took so long on a host that needed factor
-// times its usual time for the work.
-func (t *Table) Observe(route string, took time.Duration, factor float64) {
-	x := took.Seconds() / max(factor, 0.1)
+// Observe records that a request took so long, or would have on an undisturbed
+// host.
+func (t *Table) Observe(route string, took time.Duration) {
+	x := took.Seconds()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.mean[route]
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -113,31 +113,33 @@
 	if w.ask.Kind != routes.Safe {
 		call.MaxIdle = onceMaxIdle
 	}
+	// A request takes the pace of the host at its start for its whole work.
+	pace := max(1, g.gate.Load().Factor)
 	ans, err := g.backend.Do(ctx, call)
 	took := time.Since(began)
 	if err != nil {
 		return g.exchangeFailed(ctx, w, b, took, err)
 	}
 	signs := d.Signs(ans.Status, ans.Header)
-	factor := g.gate.Load().Factor
 	g.upstream.report(signs)
-	res := result{reply: hop.Reply{Took: took, NotRun: signs.NotRun, Epoch: g.epoch}, ans: ans}
+	usual := time.Duration(float64(took) / pace)
+	res := result{reply: hop.Reply{Work: usual, NotRun: signs.NotRun, Epoch: g.epoch}, ans: ans}
 	switch {
 	case signs.NotRun:
 		g.stats.count("upstream_notrun")
 		g.upstream.ask()
-		g.gate.Ended(took, false)
+		g.gate.Ended(usual, false)
 	case ans.Status < http.StatusMultipleChoices && !signs.Signed:
 		// A success without the upstream's mark is not its answer.
 		g.stats.count("upstream_unsigned")
 		ans.Close()
 		res.ans, res.failure, res.reply.Bad = nil, errUnsigned, true
-		g.gate.Ended(took, true)
+		g.gate.Ended(usual, true)
 	default:
 		failed := ans.Status >= http.StatusInternalServerError
-		g.gate.Ended(took, failed)
+		g.gate.Ended(usual, failed)
 		if !failed {
-			g.works.Observe(w.ask.Route, took, max(factor, signs.Factor))
+			g.works.Observe(w.ask.Route, usual)
 		}
 	}
 	res.reply.Load = g.gate.Load()
@@ -162,5 +164,5 @@
 		g.log.Warn().Str("request", w.ask.ID).Str("upstream", b.ID).Str("route", w.ask.Route).
 			Dur("took", took).Err(err).Msg("exchange with upstream failed")
 	}
-	return result{failure: err, reply: hop.Reply{Load: g.gate.Load(), Took: took, Bad: true, Epoch: g.epoch}}
+	return result{failure: err, reply: hop.Reply{Load: g.gate.Load(), Bad: true, Epoch: g.epoch}}
 }
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -169,7 +169,6 @@
 	backend  *exchange.Pool
 	peers    *exchange.Pool
 	runs     *runs
-	alerts   alerts
 	epochs   epochs
 	stats    *stats
 	outbound *ingress.Server
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -159,7 +159,6 @@
 	hedge  bool
 	began  time.Time
 	cancel context.CancelFunc
-	slow   bool // its node has said that its upstream has turned slow
 	res    result
 }
 
@@ -169,7 +168,6 @@
 	w       http.ResponseWriter
 	ctx     context.Context
 	ended   chan *try
-	slowed  chan *try
 	running []*try
 	avoid   map[string]bool
 	placed  int
@@ -187,7 +185,7 @@
 	ctx, cancel := context.WithDeadline(q.in.Context(), q.deadline)
 	defer cancel()
 	s := &state{
-		q: q, w: w, ctx: ctx, ended: make(chan *try, maxPlaced+1), slowed: make(chan *try, 1), avoid: make(map[string]bool),
+		q: q, w: w, ctx: ctx, ended: make(chan *try, maxPlaced+1), avoid: make(map[string]bool),
 	}
 	q.g.budgets.First(q.account)
 	if q.g.upstream.current().Service == q.service {
@@ -206,10 +204,8 @@
 			if s.over(t) {
 				return
 			}
-		case <-s.slowed:
-			s.hedge("slowed")
 		case <-hedge.C:
-			s.hedge("late")
+			s.hedge()
 			if !s.hedged && time.Now().Before(q.objective) {
 				hedge.Reset(max(time.Until(q.objective), time.Millisecond))
 			}
@@ -344,12 +340,12 @@
 	} else {
 		q.g.stats.count("answered")
 		q.g.log.Debug().Str("request", q.id).Str("route", q.route.Name).Str("node", t.node.Name).Dur("took", took).
-			Dur("upstream", t.res.reply.Took).Float64("cost", t.choice.Cost).Float64("alternative", t.choice.Alternative).
+			Dur("work", t.res.reply.Work).Float64("cost", t.choice.Cost).Float64("alternative", t.choice.Alternative).
 			Dur("age", t.choice.Age).Float64("factor", t.choice.Factor).Float64("factor_after", t.res.reply.Load.Factor).
 			Int("placed", s.placed).Bool("hedge", t.hedge).Msg("answered")
 	}
-	if t.res.reply.Took > 0 {
-		q.g.sizes.Observe(q.route.Name, time.Duration(float64(len(ans.Body))/1024*float64(time.Second)), 1)
+	if t.res.reply.Work > 0 {
+		q.g.sizes.Observe(q.route.Name, time.Duration(float64(len(ans.Body))/1024*float64(time.Second)))
 	}
 	copyAnswer(s.w, ans, "")
 }
@@ -380,7 +376,7 @@
 			failed := res.failure != nil || res.ans.Status >= http.StatusInternalServerError
 			g.board.Outcome(t.node.Name, failed, now)
 			if !failed && !t.local {
-				g.works.Observe(s.q.route.Name, res.reply.Took, res.reply.Load.Factor)
+				g.works.Observe(s.q.route.Name, res.reply.Work)
 			}
 		}
 		if res.failure != nil {
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -72,11 +72,8 @@
 
 func ptr(r result) *result { return &r }
 
-// interim shows the entry node that its request is alive until stop is called,
-// and at once when the upstream turns slow, so that a request that may be
-// repeated can be placed elsewhere.
+// interim shows the entry node that its request is alive until stop is called.
 func (g *Gateway) interim(w http.ResponseWriter) (stop func()) {
-	woken, cancel := g.alerts.subscribe()
 	quit := make(chan struct{})
 	var done sync.WaitGroup
 	done.Go(func() {
@@ -86,7 +83,6 @@
 			select {
 			case <-quit:
 				return
-			case <-woken:
 			case <-timer.C:
 			}
 			w.Header().Set(hop.Header, hop.Reply{Load: g.gate.Load(), Epoch: g.epoch}.Encode())
@@ -95,7 +91,6 @@
 		}
 	})
 	return func() {
-		cancel()
 		close(quit)
 		done.Wait()
 	}
--- a/gateway/runs.go
+++ b/gateway/runs.go
@@ -89,38 +89,6 @@
 	}
 }
 
-// alerts wakes requests that run on the own upstream when it turns slow.
-type alerts struct {
-	mu   sync.Mutex
-	subs map[chan struct{}]struct{}
-}
-
-func (a *alerts) subscribe() (woken chan struct{}, cancel func()) {
-	c := make(chan struct{}, 1)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.subs == nil {
-		a.subs = make(map[chan struct{}]struct{})
-	}
-	a.subs[c] = struct{}{}
-	return c, func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		delete(a.subs, c)
-	}
-}
-
-func (a *alerts) raise() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for c := range a.subs {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // epochs holds the process that last answered under the name of each node.
 type epochs struct{ m sync.Map }
 
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -28,9 +28,6 @@
 	hedgeSpread = 1.7
 	// hedgeCost is the largest expected cost of a second try.
 	hedgeCost = 0.6
-	// slowFactor is the slowdown at which a running request is worth a second
-	// try at once.
-	slowFactor = 2.0
 	// resolveTime bounds a question about a lost exchange.
 	resolveTime = time.Second
 )
@@ -125,7 +122,7 @@
 
 // hedge starts a second try of a request that may be repeated and is late, if
 // another upstream can still finish it in time.
-func (s *state) hedge(cause string) {
+func (s *state) hedge() {
 	q := s.q
 	if q.route.Kind != routes.Safe || s.hedged || len(s.running) != 1 || s.reached >= q.route.Tries {
 		return
@@ -142,42 +139,17 @@
 	}
 	if s.place(&limit) {
 		s.hedged = true
-		q.g.stats.count("hedged." + cause)
-	}
-}
-
-// notice is called when the node of a running try reports its load.
-func (s *state) notice(t *try, l placement.Load) {
-	s.q.g.board.Report(t.node.Name, l, time.Now())
-	if l.Factor >= slowFactor {
-		select {
-		case s.slowed <- t:
-		default:
-		}
+		q.g.stats.count("hedged")
 	}
 }
 
 // runLocal runs a try on the own upstream.
 func (s *state) runLocal(ctx context.Context, t *try, ask hop.Ask) {
 	g, q := s.q.g, s.q
-	woken, cancel := g.alerts.subscribe()
-	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-woken:
-				s.notice(t, g.gate.Load())
-			}
-		}
-	}()
 	t.res = g.admit(ctx, &work{
 		ask: ask, method: q.in.Method, target: q.in.RequestURI, host: q.in.Host, header: q.header,
 		body: q.reader(), length: q.length, objective: q.objective, deadline: q.deadline,
 	})
-	close(done)
 }
 
 // runPeer sends a try to the node beside the upstream.
@@ -190,7 +162,7 @@
 		Body: q.reader(), Length: q.length, Deadline: q.deadline.Add(answerSlack), Silence: silentTime,
 		Interim: func(h http.Header) {
 			if reply, err := hop.ParseReply(h.Get(hop.Header)); err == nil {
-				s.notice(t, reply.Load)
+				g.board.Report(t.node.Name, reply.Load, time.Now())
 			}
 		},
 	}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -8,6 +8,7 @@
 
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/capacity"
+	"github.com/mulberrylink/mulberrylink/coordination/placement"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/transport/exchange"
 )
@@ -28,8 +29,6 @@
 	minWatch = 5 * time.Millisecond
 	// probeTime bounds one such request.
 	probeTime = 400 * time.Millisecond
-	// changedFactor is the change of the speed that running requests are told of.
-	changedFactor = 1.6
 )
 
 // Beat is what an upstream says of itself.
@@ -205,8 +204,8 @@
 	u.mu.Unlock()
 	if s.Factor > 0 {
 		u.g.gate.Speed(factor, s.Running)
-		if factor > before*changedFactor {
-			u.g.alerts.raise()
+		if placement.Disturbed(factor) != placement.Disturbed(before) {
+			u.g.log.Debug().Float64("factor", factor).Float64("before", before).Int("running", s.Running).Msg("pace of the upstream changed")
 		}
 	}
 	if publish {
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -88,8 +88,8 @@
 	Refused string
 	// After is when there will be room, with a refusal.
 	After time.Duration
-	// Took is the time that the upstream took.
-	Took time.Duration
+	// Work is the time that the upstream would have taken at its usual pace.
+	Work time.Duration
 	// NotRun is true when the upstream itself says that it did not run the
 	// request; Bad when its answer was unusable.
 	NotRun, Bad bool
@@ -108,7 +108,7 @@
 	return strings.Join([]string{
 		strconv.Itoa(r.Load.Running) + "," + strconv.Itoa(r.Load.Waiting) + "," + strconv.Itoa(r.Load.Slots),
 		strconv.FormatFloat(r.Load.Factor, 'f', 2, 64), strconv.FormatFloat(r.Load.Failing, 'f', 2, 64),
-		strconv.Itoa(flags), millis(r.Took), r.Refused, millis(r.After), r.Epoch,
+		strconv.Itoa(flags), millis(r.Work), r.Refused, millis(r.After), r.Epoch,
 	}, ";")
 }
 
@@ -130,7 +130,7 @@
 			Factor: r.float(p[1]), Failing: r.float(p[2]), Cold: flags&1 != 0,
 		},
 		NotRun: flags&2 != 0, Bad: flags&4 != 0,
-		Took: r.millis(p[4]), Refused: p[5], After: r.millis(p[6]), Epoch: p[7],
+		Work: r.millis(p[4]), Refused: p[5], After: r.millis(p[6]), Epoch: p[7],
 	}
 	return out, errors.Wrap(r.err, "hop header")
 }
