--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -30,6 +30,12 @@
 	bounceMargin = 0.12
 	// factorTime is how long a report of the host's speed is trusted fully.
 	factorTime = 250 * time.Millisecond
+	// slowGain is the weight of one request in the slowness of an upstream,
+	// slowTime how fast it is forgotten and maxSlow what one request counts at
+	// most.
+	slowGain = 0.15
+	slowTime = 3 * time.Second
+	maxSlow  = 20
 	// failGain is the weight of one outcome in the share that fails.
 	failGain = 0.15
 	// failTime is how fast the share of failures is forgotten without outcomes.
--- a/coordination/capacity/gate.go
+++ b/coordination/capacity/gate.go
@@ -22,8 +22,10 @@
 	admitted []time.Time // to a cold upstream, within rateWindow
 	knee     knee
 	limit    int // of running requests, at most the slots
-	factor   float64
+	factor   float64 // reported pace of the host
 	factorAt time.Time
+	slow     float64 // what requests take beyond what is expected of them
+	slowAt   time.Time
 	tickets  map[*Ticket]struct{}
 	failing  float64
 	failAt   time.Time
@@ -46,7 +48,7 @@
 
 // New returns a closed gate.
 func New(now func() time.Time) *Gate {
-	return &Gate{now: now, factor: 1, tickets: make(map[*Ticket]struct{})}
+	return &Gate{now: now, factor: 1, slow: 1, tickets: make(map[*Ticket]struct{})}
 }
 
 // Open lets requests in on the terms of the upstream.
@@ -82,11 +84,16 @@
 	g.dispatch(now)
 }
 
-// Ended takes the outcome of a request that ran.
-func (g *Gate) Ended(failed bool) {
+// Ended takes the outcome of a request that ran. Expected is what its work was
+// thought to take on an undisturbed host, and took what it took at that pace.
+func (g *Gate) Ended(expected, took time.Duration, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	if !failed && expected > 0 {
+		cur := g.slowness(now)
+		g.slow, g.slowAt = cur+slowGain*(min(float64(took)/float64(expected), maxSlow)-cur), now
+	}
 	target := 0.0
 	if failed {
 		target = 1
@@ -99,6 +106,12 @@
 	return g.failing * math.Exp(-float64(now.Sub(g.failAt))/float64(failTime))
 }
 
+// slowness is how much longer requests take than is expected of them, for causes
+// that the pace of the host does not show. It is forgotten without requests.
+func (g *Gate) slowness(now time.Time) float64 {
+	return max(1, 1+(g.slow-1)*math.Exp(-float64(now.Sub(g.slowAt))/float64(slowTime)))
+}
+
 // currentFactor is the last reported factor, which fades to the usual speed.
 func (g *Gate) currentFactor(now time.Time) float64 {
 	age := now.Sub(g.factorAt) - factorTime
@@ -115,7 +128,7 @@
 	now := g.now()
 	return placement.Load{
 		Running: g.running, Waiting: len(g.queue), Slots: g.limit,
-		Factor: g.currentFactor(now), Failing: g.failShare(now), Cold: now.Before(g.up.ColdUntil),
+		Factor: g.currentFactor(now) * g.slowness(now), Failing: g.failShare(now), Cold: now.Before(g.up.ColdUntil),
 	}
 }
 
@@ -190,7 +203,7 @@
 	if g.running >= g.limit {
 		wait = g.drain(g.ahead(ask), now)
 	}
-	miss, finish := placement.Expect(now, wait, ask.Work, g.currentFactor(now), ask.Objective, ask.Deadline)
+	miss, finish := placement.Expect(now, wait, ask.Work, g.currentFactor(now)*g.slowness(now), ask.Objective, ask.Deadline)
 	if ask.Elsewhere > 0 {
 		if own := 1 - (1-miss)*(1-g.failShare(now)); own > ask.Elsewhere+bounceMargin {
 			return Refusal{Reason: Slower}
@@ -225,7 +238,7 @@
 	for _, w := range g.queue[:ahead] {
 		work += w.ask.Work
 	}
-	return (left + time.Duration(float64(work)*g.currentFactor(now))) / time.Duration(max(1, g.limit))
+	return (left + time.Duration(float64(work)*g.currentFactor(now)*g.slowness(now))) / time.Duration(max(1, g.limit))
 }
 
 func (g *Gate) insert(w *waiter) {
@@ -252,7 +265,7 @@
 
 func (g *Gate) admit(now time.Time, w *waiter) {
 	g.running++
-	w.ticket = &Ticket{g: g, ends: now.Add(time.Duration(float64(w.ask.Work) * g.currentFactor(now)))}
+	w.ticket = &Ticket{g: g, ends: now.Add(time.Duration(float64(w.ask.Work) * g.currentFactor(now) * g.slowness(now)))}
 	g.tickets[w.ticket] = struct{}{}
 	// Counted also while warm: the upstream may turn out to have been cold.
 	g.admitted = append(g.admitted, now)
@@ -301,8 +314,9 @@
 // is slow to its end.
 func (g *Gate) verdict(now time.Time, ask *Ask) verdict {
 	factor := g.currentFactor(now)
-	slow := now.Add(time.Duration(float64(ask.Work) * factor))
-	quiet := now.Add(ask.Work)
+	work := time.Duration(float64(ask.Work) * g.slowness(now))
+	slow := now.Add(time.Duration(float64(work) * factor))
+	quiet := now.Add(work)
 	switch {
 	case now.Add(ask.Work / 2).After(ask.Deadline):
 		return hopeless // even a fast run would be too late
--- a/coordination/capacity/script_test.go
+++ b/coordination/capacity/script_test.go
@@ -111,7 +111,9 @@
 			time.Sleep(s.time(o["every"], 0))
 		}
 	case "ended":
-		s.gate.Ended(o["failed"] == "yes")
+		for range int(s.number(o["times"], 1)) {
+			s.gate.Ended(s.time(o["work"], 80*time.Millisecond), s.time(o["took"], 80*time.Millisecond), o["failed"] == "yes")
+		}
 	case "enter":
 		s.enter(words[0], o)
 	case "leave":
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -128,16 +128,16 @@
 	case signs.NotRun:
 		g.stats.count("upstream_notrun")
 		g.upstream.ask()
-		g.gate.Ended(false)
+		g.gate.Ended(0, 0, false)
 	case ans.Status < http.StatusMultipleChoices && !signs.Signed:
 		// A success without the upstream's mark is not its answer.
 		g.stats.count("upstream_unsigned")
 		ans.Close()
 		res.ans, res.failure, res.reply.Bad = nil, errUnsigned, true
-		g.gate.Ended(true)
+		g.gate.Ended(0, 0, true)
 	default:
 		failed := ans.Status >= http.StatusInternalServerError
-		g.gate.Ended(failed)
+		g.gate.Ended(w.ask.Work, usual, failed)
 		if !failed {
 			g.works.Observe(w.ask.Route, usual)
 		}
@@ -158,7 +158,7 @@
 		return g.refusal(refusedDown, 0)
 	}
 	if ctx.Err() == nil {
-		g.gate.Ended(true)
+		g.gate.Ended(0, 0, true)
 		g.upstream.ask()
 		g.stats.count("upstream_failed")
 		g.log.Warn().Str("request", w.ask.ID).Str("upstream", b.ID).Str("route", w.ask.Route).
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -94,11 +94,9 @@
 	is := is.New(t)
 	d := deploy(t)
 	n := d.node("n1", "d1", "archive", 1)
-	d.ready(n)
+	// The node learns from the first request how long the work takes.
 	n.up.set(func(w http.ResponseWriter, _ *http.Request) { time.Sleep(400 * time.Millisecond) })
-	for i := range 3 { // the node learns how long the work takes
-		n.call("GET", "/read/1", fmt.Sprintf("learn%d", i), "")
-	}
+	d.ready(n)
 	var wg sync.WaitGroup
 	got := make([]answer, 30)
 	took := make([]time.Duration, len(got))
