Pack documents and follow a control host in the own failure domain

A request is let into a queue only with a tenth of its time in reserve (TestFullUpstreamRefusesAtOnce failed once at the boundary).

--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -51,7 +51,7 @@
 
 // Config is what a Host is opened with.
 type Config struct {
-	Name string
+	Name, Domain string
 	// Dir is the data directory.
 	Dir string
 	// Addr is the address for the other control hosts and for nodes.
@@ -102,7 +102,7 @@
 		return nil, err
 	}
 	h.hub = feed.NewHub(feed.HubConfig{
-		Directory: h.dir, Source: h.source, Current: h.current, Hosts: h.hosts, Log: cfg.Log,
+		Directory: h.dir, Source: h.source, Current: h.current, Hosts: h.known, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	h.rpc = rpc.NewServer(func(err error) { cfg.Log.Debug().Err(err).Msg("connection lost") })
 	for _, add := range []func() (string, rpc.Handler){h.stepMethod, h.hubMethod, h.joinMethod} {
@@ -245,6 +245,20 @@
 	return addrs
 }
 
+// known returns the members with their failure domains, as far as these are
+// known.
+func (h *Host) known() []feed.Host {
+	var hosts []feed.Host
+	for _, addr := range h.hosts() {
+		x := feed.Host{Addr: addr, Domain: h.peers.domain(addr)}
+		if addr == h.cfg.Addr {
+			x.Domain = h.cfg.Domain
+		}
+		hosts = append(hosts, x)
+	}
+	return hosts
+}
+
 // watchLeader logs each change of the leader as this host sees it.
 func (h *Host) watchLeader(ctx context.Context) {
 	tick := time.NewTicker(rosterInterval)
--- a/controlhost/group.go
+++ b/controlhost/group.go
@@ -269,9 +269,20 @@
 
 // peers are the feeds of the other control hosts.
 type peers struct {
+	mu      sync.Mutex
 	clients map[string]*peer
 }
 
+// domain returns the failure domain of a member, empty when it is not known.
+func (p *peers) domain(addr string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.clients[addr]; c != nil {
+		return c.client.Domain()
+	}
+	return ""
+}
+
 type peer struct {
 	client *feed.Client
 	cancel context.CancelFunc
@@ -281,6 +292,8 @@
 // follow opens a feed to each member, ends the feeds of former members, and
 // gives up the nodes of a member that has been silent for orphanTime.
 func (p *peers) follow(ctx context.Context, h *Host, st *quorum.State, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.clients == nil {
 		p.clients = make(map[string]*peer)
 	}
--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -42,6 +42,9 @@
 	failTime = 2 * time.Second
 	// rateWindow is the span in which requests to a cold upstream are counted.
 	rateWindow = time.Second
+	// waitMargin is the part of the expected time that is kept in reserve before a
+	// request is let into the queue: those before it may take a little longer.
+	waitMargin = 10
 	// maxWaiting bounds the queue; what waits longer is of no use to anybody.
 	maxWaiting = 1024
 )
--- a/coordination/capacity/gate.go
+++ b/coordination/capacity/gate.go
@@ -209,7 +209,7 @@
 			return Refusal{Reason: Slower}
 		}
 	}
-	if wait > 0 && now.Add(finish).After(ask.Deadline) {
+	if wait > 0 && now.Add(finish+finish/waitMargin).After(ask.Deadline) {
 		return Refusal{Reason: Full, After: wait}
 	}
 	return Refusal{}
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -169,7 +169,7 @@
 	}, []routes.Service{{Name: "archive", Health: "/health"}, {Name: "desk", Health: "/health"}}, routes.Limits{BodyBytes: 64 << 20})
 	hub := feed.NewHub(feed.HubConfig{
 		Directory: directory.New(), Source: d.machine.Current, Current: func() bool { return true },
-		Hosts: func() []string { return nil }, Log: quiet(),
+		Hosts: func() []feed.Host { return nil }, Log: quiet(),
 	})
 	s := rpc.NewServer(nil)
 	name, f := hub.Method()
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -200,7 +200,7 @@
 	g.peers = exchange.NewPool(exchange.Config{Dial: dialTime, Idle: peerIdle, Keep: peerKeep, Buffer: bufferedAnswer})
 	g.feed = feed.NewClient(feed.ClientConfig{
 		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTime}), Seeds: cfg.Seeds,
-		Directory: g.dir, Adopt: g.adopt, Name: cfg.Name, Log: cfg.Log,
+		Directory: g.dir, Adopt: g.adopt, Name: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	g.upstream = newUpstream(g)
 	g.outbound = ingress.New(ingress.Config{Addr: cfg.Outbound, Handler: g.serveCaller})
--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -21,6 +22,7 @@
 var (
 	errSilent = errors.New("the other side has been silent for too long")
 	errBehind = errors.New("the control host is not in touch with a leader")
+	errNearer = errors.New("a control host in the own failure domain is known")
 	errGap    = errors.New("the change does not build on the version held")
 )
 
@@ -42,6 +44,9 @@
 	Directory *directory.Directory
 	// Adopt is called with each newer committed state. It may be nil.
 	Adopt func(*document.State)
+	// Domain is the failure domain of the subscriber. Control hosts there are
+	// preferred.
+	Domain string
 	// Name is the name of the own node, whose record is not taken from others.
 	Name string
 	Log  *log.Logger
@@ -53,15 +58,20 @@
 	heard atomic.Int64 // Unix nanoseconds
 
 	mu    sync.Mutex
-	hosts []string
-	self  *mulberrylink.Node
-	wake  chan struct{}
-	state *document.State
+	hosts []Host
+	// failed is when a control host could last not be followed.
+	failed map[string]time.Time
+	told   string // the failure domain that the control host told
+	self   *mulberrylink.Node
+	wake   chan struct{}
+	state  *document.State
 }
 
 // NewClient returns a client that starts with Run.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, hosts: slices.Clone(cfg.Seeds), wake: make(chan struct{}, 1), state: &document.State{}}
+	c := &Client{cfg: cfg, failed: make(map[string]time.Time), wake: make(chan struct{}, 1), state: &document.State{}}
+	c.Seeds(cfg.Seeds)
+	return c
 }
 
 // Seeds adds addresses to try, because the settings name others now.
@@ -69,12 +79,61 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, a := range addrs {
-		if !slices.Contains(c.hosts, a) {
-			c.hosts = append(c.hosts, a)
+		if !slices.ContainsFunc(c.hosts, func(h Host) bool { return h.Addr == a }) {
+			c.hosts = append(c.hosts, Host{Addr: a})
 		}
 	}
 }
 
+// Domain returns the failure domain of the control host that is followed, empty
+// until it is known.
+func (c *Client) Domain() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told
+}
+
+// order returns the control hosts in the order in which they are tried: those in
+// the own failure domain first, otherwise by chance, so that the others share
+// the subscribers.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hosts := slices.Clone(c.hosts)
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	slices.SortStableFunc(hosts, func(a, b Host) int { return cmp.Compare(c.distance(a), c.distance(b)) })
+	var addrs []string
+	for _, h := range hosts {
+		addrs = append(addrs, h.Addr)
+	}
+	return addrs
+}
+
+// nearer reports whether another control host is in the own failure domain and
+// addr is not. One that could not be followed lately does not count.
+func (c *Client) nearer(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := false
+	for _, h := range c.hosts {
+		if c.distance(h) > 0 {
+			continue
+		}
+		if h.Addr == addr {
+			return false
+		}
+		found = found || time.Since(c.failed[h.Addr]) > farTime
+	}
+	return found
+}
+
+func (c *Client) distance(h Host) int {
+	if c.cfg.Domain != "" && h.Domain == c.cfg.Domain {
+		return 0
+	}
+	return 1
+}
+
 // Announce sends the own record, now and after each change of the host. It
 // sets the incarnation when n is not above the last one.
 func (c *Client) Announce(n mulberrylink.Node) {
@@ -95,35 +154,44 @@
 
 // Run follows control hosts until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	behind := 0 // control hosts in a row that were behind
-	for i := rand.IntN(8); ctx.Err() == nil; i++ {
-		pause := dialPause
-		c.mu.Lock()
-		hosts := c.hosts
-		c.mu.Unlock()
-		if len(hosts) > 0 {
-			addr := hosts[i%len(hosts)]
+	for ctx.Err() == nil {
+		behind, tried := 0, c.order()
+		for _, addr := range tried {
 			began := time.Now()
 			err := c.follow(ctx, addr)
-			if time.Since(began) > silentTime {
+			lasted := time.Since(began) > silentTime
+			if lasted {
 				c.cfg.Log.Warn().Str("host", addr).Err(err).Msg("feed of control host lost")
 			} else {
 				c.cfg.Log.Debug().Str("host", addr).Err(err).Msg("control host not followed")
 			}
-			if behind++; !errors.Is(err, errBehind) {
-				behind = 0
+			if errors.Is(err, errNearer) {
+				break
+			}
+			c.mu.Lock()
+			c.failed[addr] = time.Now()
+			c.mu.Unlock()
+			if errors.Is(err, errBehind) {
+				behind++
 			}
-			if behind >= len(hosts) {
-				pause = beatInterval // there is no leader to be found
+			pause(ctx, dialPause)
+			if lasted || ctx.Err() != nil {
+				break
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		if behind == len(tried) {
+			pause(ctx, dialPause) // there is no leader to be found, or no address
 		}
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // follow keeps one stream until it fails.
 func (c *Client) follow(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -165,6 +233,9 @@
 		if err := c.take(&m, addr); err != nil {
 			return err
 		}
+		if c.nearer(addr) {
+			return errNearer
+		}
 		if !m.Behind {
 			c.heard.Store(time.Now().UnixNano())
 		} else if c.cfg.Host == "" {
@@ -212,6 +283,9 @@
 	if len(m.Hosts) > 0 && !c.cfg.Fixed {
 		c.hosts = m.Hosts
 	}
+	if m.Domain != "" {
+		c.told = m.Domain
+	}
 	if m.Raise != 0 && c.self != nil && c.self.Incarnation <= m.Raise {
 		raised := *c.self
 		raised.Incarnation = m.Raise + 1
@@ -234,19 +308,22 @@
 
 // next returns the state after a message, nil when it brings nothing newer.
 func (c *Client) next(m *downMessage) (*document.State, error) {
-	switch {
-	case m.Serial <= c.state.Serial:
+	if m.Serial <= c.state.Serial {
 		return nil, nil
-	case m.Full != nil:
-		return m.Full, nil
 	}
 	next := *c.state
-	if m.Change != nil {
-		if m.Change.Base != c.state.Version {
+	if len(m.Packed) > 0 {
+		n, err := unpack(m.Packed)
+		switch {
+		case err != nil:
+			return nil, err
+		case n.Full != nil:
+			return n.Full, nil
+		case n.Change == nil || n.Change.Base != c.state.Version:
 			c.state = &document.State{} // the next stream brings the whole
 			return nil, errGap
 		}
-		next = *c.state.Apply(m.Change)
+		next = *c.state.Apply(n.Change)
 	}
 	next.Out, next.Serial = m.Out, m.Serial
 	return &next, nil
--- a/protocol/feed/doc.go
+++ b/protocol/feed/doc.go
@@ -46,10 +46,28 @@
 	graceTime = 2 * time.Second
 	// dialPause is the wait before the next control host is tried.
 	dialPause = 100 * time.Millisecond
+	// farTime is how long a subscriber stays with a control host in another
+	// failure domain after one in its own could not be followed.
+	farTime = 10 * time.Second
 	// settleTime collects changes that come together into one message.
 	settleTime = 10 * time.Millisecond
 )
 
+// Host is a control host. Subscribers prefer those in their own failure domain,
+// since what a large document costs is mostly the way.
+type Host struct {
+	Addr string `cbor:"a"`
+	// Domain is empty when it is not known yet.
+	Domain string `cbor:"d,omitempty"`
+}
+
+// news is the contents of downMessage.Packed: the whole state, or what leads to
+// it from the subscriber's version.
+type news struct {
+	Full   *document.State  `cbor:"f,omitempty"`
+	Change *document.Change `cbor:"c,omitempty"`
+}
+
 // upMessage goes from a subscriber to a control host.
 type upMessage struct {
 	// Node is the record of the subscriber, when it has one and it changed.
@@ -64,14 +82,14 @@
 // downMessage goes from a control host to a subscriber.
 type downMessage struct {
 	Nodes []mulberrylink.Node `cbor:"n,omitempty"`
-	// Full is the whole state, Change what leads to it from the subscriber's
-	// version. Out and Serial come along with either, or alone.
-	Full   *document.State  `cbor:"f,omitempty"`
-	Change *document.Change `cbor:"c,omitempty"`
-	Out    []string         `cbor:"o,omitempty"`
-	Serial uint64           `cbor:"s,omitempty"`
-	// Hosts are the addresses of the control hosts, when they changed.
-	Hosts []string `cbor:"h,omitempty"`
+	// Packed is the new document. Out and Serial come along with it, or alone.
+	Packed []byte   `cbor:"p,omitempty"`
+	Out    []string `cbor:"o,omitempty"`
+	Serial uint64   `cbor:"s,omitempty"`
+	// Hosts are the control hosts, when they changed, and Domain is the failure
+	// domain of this one, in the first message.
+	Hosts  []Host `cbor:"h,omitempty"`
+	Domain string `cbor:"d,omitempty"`
 	// Behind is true while this control host is not in touch with a leader.
 	Behind bool `cbor:"b,omitempty"`
 	// Raise is the incarnation that the subscriber's record has to exceed.
--- a/protocol/feed/feed_test.go
+++ b/protocol/feed/feed_test.go
@@ -23,7 +23,7 @@
 	dir     *directory.Directory
 	machine *document.Machine
 	behind  atomic.Bool
-	hosts   []string
+	hosts   []feed.Host
 	stop    context.CancelFunc
 }
 
@@ -34,7 +34,7 @@
 	h := &host{dir: directory.New(), machine: document.NewMachine()}
 	hub := feed.NewHub(feed.HubConfig{
 		Directory: h.dir, Source: h.machine.Current, Current: func() bool { return !h.behind.Load() },
-		Hosts: func() []string { return h.hosts }, Log: quiet(),
+		Hosts: func() []feed.Host { return h.hosts }, Log: quiet(),
 	})
 	s := rpc.NewServer(nil)
 	name, f := hub.Method()
@@ -156,3 +156,23 @@
 	follow(t, "n1", a)
 	within(t, 2*time.Second, "record of the new start", func() bool { return len(a.dir.Service("archive")) == 1 })
 }
+
+// Guards against a large document that crosses failure domains to every node:
+// once a node knows the control hosts, it follows one in its own.
+func TestNodePrefersItsOwnDomain(t *testing.T) {
+	a, b := newHost(t), newHost(t)
+	known := []feed.Host{{Addr: a.addr, Domain: "d1"}, {Addr: b.addr, Domain: "d2"}}
+	a.hosts, b.hosts = known, known
+	a.change(1, 0, "first")
+	b.change(1, 0, "first")
+	f := &follower{dir: directory.New()}
+	f.client = feed.NewClient(feed.ClientConfig{
+		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second}), Seeds: []string{a.addr}, Directory: f.dir, Name: "n1", Domain: "d2", Log: quiet(),
+	})
+	f.client.Announce(mulberrylink.Node{Name: "n1", Service: "archive", Incarnation: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.client.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	within(t, 3*time.Second, "move to the own domain", func() bool { return b.dir.Size() == 1 })
+}
--- a/protocol/feed/hub.go
+++ b/protocol/feed/hub.go
@@ -31,9 +31,11 @@
 	Source func() (*document.State, <-chan struct{})
 	// Current reports whether this host is in touch with a leader.
 	Current func() bool
-	// Hosts returns the addresses of the control hosts.
-	Hosts func() []string
-	Log   *log.Logger
+	// Hosts returns the control hosts.
+	Hosts func() []Host
+	// Domain is the failure domain of this control host.
+	Domain string
+	Log    *log.Logger
 }
 
 // Hub serves the subscribers of one control host.
@@ -41,18 +43,22 @@
 	cfg  HubConfig
 	next atomic.Uint64
 
-	mu   sync.Mutex
-	kept []*document.State
+	mu     sync.Mutex
+	kept   []*document.State
+	packed map[span][]byte // of the newest version
 }
 
 // NewHub returns a hub without subscribers.
 func NewHub(cfg HubConfig) *Hub {
-	return &Hub{cfg: cfg}
+	return &Hub{cfg: cfg, packed: make(map[span][]byte)}
 }
 
 // Method returns the name and the handler of the stream.
 func (h *Hub) Method() (string, func(drpc.Stream) error) { return methodWatch, h.serve }
 
+// span is what a packed document leads from and to.
+type span struct{ from, to uint64 }
+
 // session is one subscriber.
 type session struct {
 	hub    *Hub
@@ -65,7 +71,7 @@
 	revision uint64
 	version  uint64
 	serial   uint64
-	hosts    []string
+	hosts    []Host
 }
 
 func (h *Hub) serve(st drpc.Stream) error {
@@ -183,11 +189,7 @@
 	}
 	m.Out, m.Serial = state.Out, state.Serial
 	if state.Version > s.version {
-		if old := s.hub.former(s.version); old != nil {
-			m.Change = document.Diff(old, state)
-		} else {
-			m.Full = state
-		}
+		m.Packed = s.hub.pack(s.version, state)
 	}
 	s.version, s.serial = state.Version, state.Serial
 	return next
@@ -197,7 +199,7 @@
 func (s *session) standing(m *downMessage) {
 	m.Behind = !s.hub.cfg.Current()
 	if hosts := s.hub.cfg.Hosts(); !slices.Equal(hosts, s.hosts) {
-		s.hosts, m.Hosts = hosts, hosts
+		s.hosts, m.Hosts, m.Domain = hosts, hosts, s.hub.cfg.Domain
 	}
 }
 
@@ -214,9 +216,34 @@
 	}
 }
 
-func (h *Hub) former(version uint64) *document.State {
+// pack returns what leads from a version to a state. Subscribers with the same
+// version share it.
+func (h *Hub) pack(from uint64, to *document.State) []byte {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	key := span{from, to.Version}
+	if data, ok := h.packed[key]; ok {
+		return data
+	}
+	for k := range h.packed {
+		if k.to != to.Version {
+			delete(h.packed, k)
+		}
+	}
+	n := &news{Full: to}
+	if old := h.former(from); old != nil {
+		n = &news{Change: document.Diff(old, to)}
+	}
+	data, err := pack(n)
+	if err != nil {
+		h.cfg.Log.Error().Uint64("version", to.Version).Err(err).Msg("document not packed")
+		return nil
+	}
+	h.packed[key] = data
+	return data
+}
+
+func (h *Hub) former(version uint64) *document.State {
 	for _, s := range h.kept {
 		if s.Version == version && version != 0 {
 			return s
