--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -74,7 +74,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			checkCommand(), diffCommand(), applyCommand(), statusCommand(), historyCommand(),
-			membersCommand(), explainCommand(), versionCommand(),
+			membersCommand(), explainCommand(), traceCommand(), versionCommand(),
 		},
 		ArgValidator: noArguments,
 	}
--- /dev/null
+++ b/cmd/mulberryctl/trace.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// maxLogLine bounds one line of a log.
+const maxLogLine = 1 << 20
+
+func traceCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "trace",
+		Usage:     "follow a request through the logs of several processes",
+		ArgsUsage: "ID FILE...",
+		ArgValidator: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() < 2 {
+				return &exitError{code: exitUsage, text: "trace takes an identifier and at least one log file"}
+			}
+			return nil
+		},
+		Description: "It prints the lines that name the request, or an exchange between two nodes for it, in order of time.\n\n" +
+			"Example:\n  mulberryctl trace 9c41d07be2a35f68 node-1.log node-2.log",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			lines, err := readLogs(cmd.Args().Tail())
+			if err != nil {
+				return err
+			}
+			found := follow(lines, cmd.Args().First())
+			if len(found) == 0 {
+				return &exitError{code: exitUsage, text: "no line names the request " + cmd.Args().First()}
+			}
+			for _, l := range found {
+				if _, err := fmt.Fprintln(cmd.Root().Writer, l.text); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// logLine is one line of a log with the values that lines are found by.
+type logLine struct{ time, request, exchange, text string }
+
+func readLogs(files []string) ([]logLine, error) {
+	var lines []logLine
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "log")
+		}
+		sc := bufio.NewScanner(f)
+		sc.Buffer(nil, maxLogLine)
+		for sc.Scan() {
+			lines = append(lines, parseLine(sc.Text()))
+		}
+		if err := errors.CombineErrors(sc.Err(), f.Close()); err != nil {
+			return nil, errors.Wrapf(err, "log %s", name)
+		}
+	}
+	return lines, nil
+}
+
+func parseLine(text string) logLine {
+	l := logLine{text: text}
+	for _, word := range strings.Fields(text) {
+		key, value, _ := strings.Cut(word, "=")
+		switch key {
+		case "time":
+			l.time = value
+		case "request":
+			l.request = value
+		case "exchange":
+			l.exchange = value
+		}
+	}
+	return l
+}
+
+// follow returns the lines of a request and of its exchanges. A nested call has
+// the identifier of its request with a suffix.
+func follow(lines []logLine, id string) []logLine {
+	exchanges := make(map[string]bool)
+	for _, l := range lines {
+		if l.request == id && l.exchange != "" {
+			exchanges[l.exchange] = true
+		}
+	}
+	var found []logLine
+	for _, l := range lines {
+		if l.request == id || strings.HasPrefix(l.request, id+".") || exchanges[l.exchange] {
+			found = append(found, l)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b logLine) int { return cmp.Compare(a.time, b.time) })
+	return found
+}
--- /dev/null
+++ b/cmd/mulberryctl/trace_test.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a line that is missing from the path of a request: one of
+// another process that knows only the exchange, one of a nested call, and lines
+// that are out of order because they come from several files.
+func TestTraceFollowsOverProcesses(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	a := write("a.log", `time=T1 level=warn event="connection lost" name=n1 request=q1 exchange=x7
+time=T4 level=info event="answered late" name=n1 request=q1
+time=T2 level=info event=other name=n1 request=q2
+`)
+	b := write("b.log", `time=T3 level=info event="outcome asked" name=n2 exchange=x7
+time=T2 level=info event=nested name=n2 request=q1.call
+time=T9 level=info event=start name=n2
+`)
+	lines, err := readLogs([]string{a, b})
+	is.NoErr(err)
+	var times []string
+	for _, l := range follow(lines, "q1") {
+		times = append(times, l.time)
+	}
+	is.Equal(times, []string{"T1", "T2", "T3", "T4"})
+	_, err = readLogs([]string{filepath.Join(dir, "none.log")})
+	is.True(err != nil)
+}
--- a/coordination/placement/board.go
+++ b/coordination/placement/board.go
@@ -284,6 +284,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x := b.belief(name)
+	if now.Before(x.outTill) && x.lost > 0 {
+		return x.outTill.Sub(now) // requests that were under way together count once
+	}
 	d := min(lostMax, lostTime<<min(x.lost, 8))
 	x.lost++
 	x.outTill = now.Add(d)
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -154,15 +154,16 @@
 		if f.Refused {
 			g.upstream.refused(b.ID)
 		}
-		g.log.Warn().Str("request", w.ask.ID).Str("upstream", b.ID).Err(err).Msg("upstream not reached")
+		g.log.Warn().Str("request", g.cfg.Dialect.RequestID(w.header)).Str("exchange", w.ask.ID).
+			Str("upstream", b.ID).Err(err).Msg("upstream not reached")
 		return g.refusal(refusedDown, 0)
 	}
 	if ctx.Err() == nil {
 		g.gate.Ended(0, 0, true)
 		g.upstream.ask()
 		g.stats.count("upstream_failed")
-		g.log.Warn().Str("request", w.ask.ID).Str("upstream", b.ID).Str("route", w.ask.Route).
-			Dur("took", took).Err(err).Msg("exchange with upstream failed")
+		g.log.Warn().Str("request", g.cfg.Dialect.RequestID(w.header)).Str("exchange", w.ask.ID).
+			Str("upstream", b.ID).Str("route", w.ask.Route).Dur("took", took).Err(err).Msg("exchange with upstream failed")
 	}
 	return result{failure: err, reply: hop.Reply{Load: g.gate.Load(), Bad: true, Epoch: g.epoch}}
 }
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -174,7 +174,7 @@
 	if r.Context().Err() != nil {
 		return
 	}
-	g.log.Info().Str("request", id).Bool("barred", rec.barred).Bool("kept", rec.ans != nil).Msg("lost exchange resolved")
+	g.log.Info().Str("exchange", id).Bool("barred", rec.barred).Bool("kept", rec.ans != nil).Msg("lost exchange resolved")
 	switch {
 	case rec.barred:
 		g.answerPeer(w, ptr(g.refusal(refusedBarred, 0)))
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -183,6 +183,7 @@
 		t.res = result{failure: err}
 	default:
 		g.peers.Drop(t.node.Addr)
+		g.log.Warn().Str("request", q.id).Str("exchange", ask.ID).Str("node", t.node.Name).Err(err).Msg("connection to the node lost; asking for the outcome")
 		t.res = g.resolveLost(ctx, t, ask.ID, err)
 	}
 }
@@ -218,7 +219,7 @@
 		Addr: t.node.Addr, Method: http.MethodGet, Target: hop.ResolvePath + id, Host: t.node.Addr,
 		Header: http.Header{}, Deadline: deadline, Fresh: true,
 	})
-	g.log.Info().Str("request", id).Str("node", t.node.Name).Bool("answered", err == nil).AnErr("cause", cause).Msg("exchange lost")
+	g.log.Info().Str("exchange", id).Str("node", t.node.Name).Bool("answered", err == nil).Str("epoch", known).Msg("outcome of a lost exchange asked")
 	if err != nil {
 		return result{failure: cause}
 	}
