--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -116,18 +116,21 @@
 	defer c.mu.Unlock()
 	found := false
 	for _, h := range c.hosts {
+		if h.Addr == addr && h.Domain == c.cfg.Domain {
+			return false
+		}
 		if c.distance(h) > 0 {
 			continue
 		}
-		if h.Addr == addr {
-			return false
-		}
-		found = found || time.Since(c.failed[h.Addr]) > farTime
+		found = true
 	}
 	return found
 }
 
 func (c *Client) distance(h Host) int {
+	if at, ok := c.failed[h.Addr]; ok && time.Since(at) < farTime {
+		return 2 // a host that stands still accepts connections and costs time
+	}
 	if c.cfg.Domain != "" && h.Domain == c.cfg.Domain {
 		return 0
 	}
@@ -201,7 +204,7 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	silent := time.AfterFunc(silentTime, func() { cancel(); _ = conn.Close() })
+	silent := time.AfterFunc(firstTime, func() { cancel(); _ = conn.Close() })
 	defer silent.Stop()
 	st, err := conn.NewStream(ctx, methodWatch, codec.Encoding{})
 	if err != nil {
--- a/protocol/feed/doc.go
+++ b/protocol/feed/doc.go
@@ -41,13 +41,15 @@
 	beatInterval = 300 * time.Millisecond
 	// silentTime ends a stream: two beats may be lost or late.
 	silentTime = time.Second
+	// firstTime bounds the wait for the first message, which a control host sends
+	// at once.
+	firstTime = 400 * time.Millisecond
 	// graceTime is how long the record of a node stays after its stream has
 	// ended, so that a node may move to another control host unnoticed.
 	graceTime = 2 * time.Second
 	// dialPause is the wait before the next control host is tried.
 	dialPause = 100 * time.Millisecond
-	// farTime is how long a subscriber stays with a control host in another
-	// failure domain after one in its own could not be followed.
+	// farTime is how long a control host that could not be followed is tried last.
 	farTime = 10 * time.Second
 	// settleTime collects changes that come together into one message.
 	settleTime = 10 * time.Millisecond
--- a/protocol/feed/feed_test.go
+++ b/protocol/feed/feed_test.go
@@ -176,3 +176,34 @@
 	defer func() { cancel(); <-done }()
 	within(t, 3*time.Second, "move to the own domain", func() bool { return b.dir.Size() == 1 })
 }
+
+// Guards against a node that keeps coming back to a control host that stands
+// still: such a host accepts connections and says nothing. Seen as a request
+// handled by an old version 2 s after the new one was accepted (hbtg-mesh-grown
+// trouble-1, seed 47667246425).
+func TestHostThatStandsStillIsTriedLast(t *testing.T) {
+	a := newHost(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	a.hosts = []feed.Host{{Addr: a.addr, Domain: "d2"}, {Addr: lis.Addr().String(), Domain: "d1"}}
+	a.change(1, 0, "first")
+	f := &follower{dir: directory.New()}
+	f.client = feed.NewClient(feed.ClientConfig{
+		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second}), Seeds: []string{a.addr}, Directory: f.dir, Name: "n1", Domain: "d1",
+		Adopt: func(s *document.State) { f.state.Store(s) }, Log: quiet(),
+	})
+	f.client.Announce(mulberrylink.Node{Name: "n1", Service: "archive", Incarnation: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.client.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	within(t, time.Second, "first version", func() bool { return f.version() == 1 })
+	for v := uint64(2); v < 8; v++ {
+		a.change(v, v-1, "next")
+		within(t, time.Second, "next version", func() bool { return f.version() == v })
+		time.Sleep(300 * time.Millisecond)
+	}
+}
