--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -30,6 +30,10 @@
 	bounceMargin = 0.12
 	// factorTime is how long a report of the host's speed is trusted fully.
 	factorTime = 250 * time.Millisecond
+	// shareTime is the span over which the share of disturbed time is taken, and
+	// maxShare the largest share that is believed.
+	shareTime = 5 * time.Second
+	maxShare  = 0.7
 	// slowGain is the weight of one request in the slowness of an upstream,
 	// slowTime how fast it is forgotten and maxSlow what one request counts at
 	// most.
--- a/coordination/capacity/gate.go
+++ b/coordination/capacity/gate.go
@@ -21,9 +21,10 @@
 	queue    []*waiter
 	admitted []time.Time // to a cold upstream, within rateWindow
 	knee     knee
-	limit    int // of running requests, at most the slots
+	limit    int     // of running requests, at most the slots
 	factor   float64 // reported pace of the host
 	factorAt time.Time
+	share    float64 // of time in which the host is disturbed
 	slow     float64 // what requests take beyond what is expected of them
 	slowAt   time.Time
 	tickets  map[*Ticket]struct{}
@@ -78,6 +79,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	if !g.factorAt.IsZero() {
+		// The state since the last report is taken to be the one reported then.
+		weight := 1 - math.Exp(-float64(now.Sub(g.factorAt))/float64(shareTime))
+		was := 0.0
+		if placement.Disturbed(g.factor) {
+			was = 1
+		}
+		g.share += weight * (was - g.share)
+	}
 	g.factor, g.factorAt = factor, now
 	g.knee.learn(running, factor, now)
 	g.limit = g.knee.limit(g.up.Slots, now)
@@ -209,7 +219,7 @@
 			return Refusal{Reason: Slower}
 		}
 	}
-	if wait > 0 && now.Add(finish+finish/waitMargin).After(ask.Deadline) {
+	if wait > 0 && g.givesUp(now, finish+finish/waitMargin, ask) {
 		return Refusal{Reason: Full, After: wait}
 	}
 	return Refusal{}
@@ -229,7 +239,7 @@
 }
 
 // drain returns how long it takes until a slot is free for a request with so
-// many others before it in the queue.
+// many others before it in the queue. Nothing starts while the host is disturbed.
 func (g *Gate) drain(ahead int, now time.Time) time.Duration {
 	var left, work time.Duration
 	for t := range g.tickets {
@@ -238,7 +248,8 @@
 	for _, w := range g.queue[:ahead] {
 		work += w.ask.Work
 	}
-	return (left + time.Duration(float64(work)*g.currentFactor(now)*g.slowness(now))) / time.Duration(max(1, g.limit))
+	work = time.Duration(float64(work) * g.slowness(now) / (1 - min(g.share, maxShare)))
+	return (left + work) / time.Duration(max(1, g.limit))
 }
 
 func (g *Gate) insert(w *waiter) {
@@ -299,6 +310,33 @@
 	}
 	clear(g.queue[len(keep):])
 	g.queue = keep
+	if g.running >= g.limit || len(g.queue) > g.limit {
+		g.prune(now)
+	}
+}
+
+// givesUp reports whether a request that would be finished after d is refused
+// instead. With more requests waiting than run, each late answer would make
+// another one late: those that miss their objective are refused then.
+func (g *Gate) givesUp(now time.Time, d time.Duration, ask *Ask) bool {
+	end := now.Add(d)
+	return end.After(ask.Deadline) || len(g.queue) > g.limit && end.After(ask.Objective)
+}
+
+// prune refuses the waiting requests that can no longer be finished in time,
+// because more urgent ones have come or those that run take longer. To hold them
+// to their deadline would help nobody.
+func (g *Gate) prune(now time.Time) {
+	for i := 0; i < len(g.queue); {
+		w := g.queue[i]
+		d := g.drain(i, now) + time.Duration(float64(w.ask.Work)*g.slowness(now))
+		if !g.givesUp(now, d, w.ask) {
+			i++
+			continue
+		}
+		w.result <- Full
+		g.queue = append(g.queue[:i], g.queue[i+1:]...)
+	}
 }
 
 // verdict says what to do with a request for which there is a slot.
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -139,7 +139,6 @@
 	t       *testing.T
 	machine *document.Machine
 	hub     string
-	serial  uint64
 	table   *routes.Table
 }
 
