Count tries as ended whether or not their caller is still there

Cause, found in a read of the code: a try was taken off the requests under way at its upstream only when its result was used. With callers that leave, second tries and deadlines the count grew, and the upstream was avoided more and more. An upstream that never answers was not counted as failing either, because the end of the caller's time looks like a caller that left. TestRequestsWithoutAnAnswer fails without the change.

--- a/coordination/placement/board.go
+++ b/coordination/placement/board.go
@@ -249,6 +249,16 @@
 	x.sent = max(0, x.sent-1)
 }
 
+// Underway returns the number of requests sent from here that have not ended.
+func (b *Board) Underway(name string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if x := b.beliefs[name]; x != nil {
+		return x.sent
+	}
+	return 0
+}
+
 // Report takes the load that came with an answer.
 func (b *Board) Report(name string, l Load, now time.Time) {
 	b.mu.Lock()
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -20,6 +20,9 @@
 	// answerSlack is how much longer than it was given an upstream is waited
 	// for: its own answer at the deadline says more than ours.
 	answerSlack = 30 * time.Millisecond
+	// deadlineSlack is how much sooner than here the deadline may pass at the
+	// entry node.
+	deadlineSlack = 15 * time.Millisecond
 	// onceMaxIdle is the longest idle time of a connection on which a request
 	// is sent that may run at most once. An upstream may drop idle connections
 	// without notice, and what is sent then must be taken as run.
@@ -158,7 +161,9 @@
 			Str("upstream", b.ID).Err(err).Msg("upstream not reached")
 		return g.refusal(refusedDown, 0)
 	}
-	if ctx.Err() == nil {
+	// A caller that leaves early says nothing about the upstream; one that has
+	// waited to the end does.
+	if ctx.Err() == nil || !time.Now().Before(w.deadline.Add(-deadlineSlack)) {
 		g.gate.Ended(0, 0, true)
 		g.upstream.ask()
 		g.stats.count("upstream_failed")
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -227,6 +227,10 @@
 // Known returns the nodes beside upstreams of a service that this node knows.
 func (g *Gateway) Known(service string) []mulberrylink.Node { return g.dir.Service(service) }
 
+// Underway returns the number of requests that this node has sent to a node and
+// that have not ended.
+func (g *Gateway) Underway(node string) int { return g.board.Underway(node) }
+
 // Ready reports whether callers should send requests here.
 func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.view.Load() != nil }
 
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -34,6 +34,9 @@
 	// startTime is how long a started node waits for its configuration, mostly:
 	// control hosts that were restarted too elect a leader meanwhile.
 	startTime = 700 * time.Millisecond
+	// silentWork is how many times its work a try without an answer has to have
+	// taken to count as a failure of its upstream.
+	silentWork = 2
 	// maxPlaced bounds how often one request is placed, and maxBounced how often
 	// because another upstream is faster.
 	maxPlaced  = 8
@@ -232,6 +235,12 @@
 		g.stats.count("caller_left")
 		panic(http.ErrAbortHandler) // nobody reads an answer
 	}
+	now := time.Now()
+	for _, t := range s.running {
+		if now.Sub(t.began) > silentWork*s.q.work {
+			g.board.Outcome(t.node.Name, true, now)
+		}
+	}
 	g.reply(s.w, s.q.in, s.q, http.StatusGatewayTimeout, mulberrylink.Unknown, mulberrylink.ReasonDeadline.String(), 0)
 }
 
@@ -245,7 +254,6 @@
 			break
 		}
 	}
-	g.board.Ended(t.node.Name)
 	t.cancel()
 	s.learn(t, now)
 	res := &t.res
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -258,3 +258,33 @@
 	is.Equal(n.call("GET", "/read/1", "a", "").status, http.StatusOK)
 	is.Equal(n.up.header().Get("Test-For"), "i-new")
 }
+
+// Guards against requests that are counted as under way for ever after their
+// callers have left or their time was up: their upstream would be avoided more and
+// more. Guards as well against an upstream that never answers and is chosen again
+// and again.
+func TestRequestsWithoutAnAnswer(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	entry, mute := d.node("n1", "d1", "desk", 4), d.node("n2", "d1", "archive", 8)
+	d.ready(entry)
+	good := d.node("n3", "d2", "archive", 8)
+	within(t, 5*time.Second, "both known", func() bool { return len(entry.g.Known("archive")) == 2 })
+	mute.up.set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	for i := range 5 {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		entry.callWith(ctx, &http.Client{Transport: &http.Transport{}}, "POST", "/write/1", fmt.Sprintf("left%d", i), "x")
+		cancel()
+	}
+	within(t, time.Second, "end of all requests", func() bool { return entry.g.Underway("n2") == 0 })
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() { entry.call("POST", "/write/1", fmt.Sprintf("late%d", i), "x") })
+	}
+	wg.Wait()
+	within(t, time.Second, "end of all requests", func() bool { return entry.g.Underway("n2") == 0 })
+	for i := range 5 {
+		is.Equal(entry.call("POST", "/write/1", fmt.Sprintf("w%d", i), "x").body, fmt.Sprintf("i-n3 POST /write/1 %d", 1))
+	}
+	is.Equal(good.up.count("w0"), 1)
+}
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -38,7 +38,6 @@
 	list := g.dir.Service(s.q.service)
 	nodes = make(map[string]mulberrylink.Node, len(list))
 	view := g.view.Load()
-	local := false
 	add := func(n mulberrylink.Node) {
 		if view.state.IsOut(n.Domain) {
 			return
@@ -49,14 +48,11 @@
 		})
 	}
 	for _, n := range list {
-		if n.Name == g.cfg.Name {
-			continue
-		}
-		if n.Usable() {
+		if n.Name != g.cfg.Name && n.Usable() {
 			add(n)
 		}
 	}
-	if b := g.upstream.current(); !local && b.Service == s.q.service {
+	if b := g.upstream.current(); b.Service == s.q.service {
 		if n := g.upstream.record(); n.Upstream == mulberrylink.UpstreamUp || n.Upstream == mulberrylink.UpstreamCold {
 			add(n)
 			g.board.Report(n.Name, g.gate.Load(), time.Now())
@@ -94,8 +90,10 @@
 		} else {
 			s.runPeer(ctx, t, ask)
 		}
+		// Also when nobody waits for the result any more.
+		g.board.Ended(c.Name)
 		if t.res.ran() {
-			s.q.g.stats.count("sent")
+			g.stats.count("sent")
 		}
 		s.ended <- t
 	}()
