--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -203,8 +203,8 @@
 		Directory: g.dir, Adopt: g.adopt, Name: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	g.upstream = newUpstream(g)
-	g.outbound = ingress.New(ingress.Config{Addr: cfg.Outbound, Handler: g.serveCaller})
-	g.inbound = ingress.New(ingress.Config{Addr: cfg.Inbound, Handler: g.servePeer})
+	g.outbound = ingress.New(ingress.Config{Addr: cfg.Outbound, Handler: g.serveCaller, Log: cfg.Log})
+	g.inbound = ingress.New(ingress.Config{Addr: cfg.Inbound, Handler: g.servePeer, Log: cfg.Log})
 	return g
 }
 
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -54,6 +54,7 @@
 	g         *Gateway
 	id        string // of the caller
 	began     time.Time
+	arrived   time.Time // when its body had been read
 	view      *view
 	route     *routes.Route
 	service   string
@@ -96,6 +97,7 @@
 		}
 		return
 	}
+	q.arrived = time.Now()
 	q.serve(w)
 }
 
@@ -351,7 +353,7 @@
 	} else {
 		q.g.stats.count("answered")
 		q.g.log.Debug().Str("request", q.id).Str("route", q.route.Name).Str("node", t.node.Name).Dur("took", took).
-			Dur("work", t.res.reply.Work).Float64("cost", t.choice.Cost).Float64("alternative", t.choice.Alternative).
+			Dur("body", q.arrived.Sub(q.began)).Dur("work", t.res.reply.Work).Float64("cost", t.choice.Cost).Float64("alternative", t.choice.Alternative).
 			Dur("age", t.choice.Age).Float64("factor", t.choice.Factor).Float64("factor_after", t.res.reply.Load.Factor).
 			Int("placed", s.placed).Bool("hedge", t.hedge).Msg("answered")
 	}
@@ -415,7 +417,7 @@
 		Str("reason", reason).Dur("after", after)
 	if q != nil {
 		e = e.Str("route", q.route.Name).Str("service", q.service).Uint64("version", q.view.state.Version).
-			Dur("held", time.Since(q.began)).Dur("left", time.Until(q.deadline))
+			Dur("body", q.arrived.Sub(q.began)).Dur("held", time.Since(q.began)).Dur("left", time.Until(q.deadline))
 	} else {
 		e = e.Str("host", r.Host).Str("path", r.URL.Path)
 	}
