--- a/coordination/capacity/gate.go
+++ b/coordination/capacity/gate.go
@@ -154,12 +154,13 @@
 func (g *Gate) Enter(ctx context.Context, ask *Ask) (*Ticket, Refusal) {
 	g.mu.Lock()
 	now := g.now()
+	g.arrange(now)
 	if r := g.refuse(now, ask); r.Reason != Admitted {
 		g.mu.Unlock()
 		return nil, r
 	}
 	w := &waiter{ask: ask, result: make(chan Reason, 1)}
-	g.insert(w)
+	g.insert(w, now)
 	g.dispatch(now)
 	g.mu.Unlock()
 	select {
@@ -211,7 +212,7 @@
 	}
 	wait := time.Duration(0)
 	if g.running >= g.limit {
-		wait = g.drain(g.ahead(ask), now)
+		wait = g.drain(g.ahead(ask, now), now)
 	}
 	miss, finish := placement.Expect(now, wait, ask.Work, g.currentFactor(now)*g.slowness(now), ask.Objective, ask.Deadline)
 	if ask.Elsewhere > 0 {
@@ -226,18 +227,33 @@
 }
 
 // ahead counts the waiting requests that go before ask.
-func (g *Gate) ahead(ask *Ask) int {
-	return sort.Search(len(g.queue), func(i int) bool { return before(ask, g.queue[i].ask) })
+func (g *Gate) ahead(ask *Ask, now time.Time) int {
+	return sort.Search(len(g.queue), func(i int) bool { return g.before(ask, g.queue[i].ask, now) })
 }
 
-// before orders by priority and then by deadline.
-func before(a, b *Ask) bool {
+// before orders the queue: first the requests that can still meet their
+// objective, then by priority, then by deadline. A request that is late anyway
+// must not make the next one late too.
+func (g *Gate) before(a, b *Ask, now time.Time) bool {
+	if late := g.late(a, now); late != g.late(b, now) {
+		return !late
+	}
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
 	return a.Deadline.Before(b.Deadline)
 }
 
+// late reports whether a request would miss its objective if it started now.
+func (g *Gate) late(a *Ask, now time.Time) bool {
+	return now.Add(time.Duration(float64(a.Work) * g.slowness(now))).After(a.Objective)
+}
+
+// arrange brings the queue into order again: requests become late in it.
+func (g *Gate) arrange(now time.Time) {
+	sort.SliceStable(g.queue, func(i, j int) bool { return g.before(g.queue[i].ask, g.queue[j].ask, now) })
+}
+
 // drain returns how long it takes until a slot is free for a request with so
 // many others before it in the queue. Nothing starts while the host is disturbed.
 func (g *Gate) drain(ahead int, now time.Time) time.Duration {
@@ -252,8 +268,8 @@
 	return (left + work) / time.Duration(max(1, g.limit))
 }
 
-func (g *Gate) insert(w *waiter) {
-	i := g.ahead(w.ask)
+func (g *Gate) insert(w *waiter, now time.Time) {
+	i := g.ahead(w.ask, now)
 	g.queue = append(g.queue, nil)
 	copy(g.queue[i+1:], g.queue[i:])
 	g.queue[i] = w
@@ -288,6 +304,7 @@
 // dispatch gives free slots to the queue. A request for which the host is too
 // slow at present stays, and others may pass it.
 func (g *Gate) dispatch(now time.Time) {
+	g.arrange(now)
 	keep := g.queue[:0]
 	for i, w := range g.queue {
 		if g.running >= g.limit {
--- a/coordination/capacity/knee.go
+++ b/coordination/capacity/knee.go
@@ -8,6 +8,10 @@
 	// slows it, does not last that long.
 	kneeSamples = 8
 	kneeSpan    = 1500 * time.Millisecond
+	// kneeMost is the slowdown from which a report tells of a disturbed host and
+	// nothing of the upstream. Upstreams that are nearly full were seen up to 2
+	// times slower, disturbed hosts 7 times.
+	kneeMost = 3.0
 	// kneeForget is how long the belief lasts without a new report; then the
 	// upstream is tried at its full number of slots again.
 	kneeForget = 30 * time.Second
@@ -25,9 +29,11 @@
 }
 
 // learn takes a report of how much longer than usual work took with so many
-// requests running.
+// requests running. A lightly loaded upstream runs many requests only while its
+// host is disturbed, since they take longer then; such reports must not lower
+// the limit.
 func (k *knee) learn(running int, factor float64, now time.Time) {
-	if running < 1 || running > maxWaiting {
+	if running < 1 || running > maxWaiting || factor >= kneeMost {
 		return
 	}
 	for len(k.levels) <= running {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -80,6 +80,12 @@
 		Work: w.ask.Work, Priority: w.ask.Priority, Objective: w.objective, Deadline: w.deadline, Elsewhere: w.ask.Elsewhere,
 	})
 	if ticket == nil {
+		load := g.gate.Load()
+		g.log.Debug().Str("request", g.cfg.Dialect.RequestID(w.header)).Str("exchange", w.ask.ID).Str("route", w.ask.Route).
+			Str("reason", refusal.Reason.String()).Dur("after", refusal.After).Dur("held", time.Since(queued)).
+			Int("running", load.Running).Int("waiting", load.Waiting).Int("limit", load.Slots).Float64("factor", load.Factor).
+			Float64("failing", load.Failing).Float64("elsewhere", w.ask.Elsewhere).Dur("work", w.ask.Work).
+			Dur("objective", time.Until(w.objective)).Msg("not admitted")
 		return g.refusal(refusal.Reason.String(), refusal.After)
 	}
 	defer ticket.Leave()
