--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -28,6 +28,8 @@
 
 func (words) RequestID(h http.Header) string { return h.Get("Test-Id") }
 
+func (words) Name(h http.Header, id string) { h.Set("Test-Id", id) }
+
 func (words) Wait(h http.Header) (time.Duration, bool) {
 	n, err := strconv.Atoi(h.Get("Test-Wait"))
 	return time.Duration(n) * time.Millisecond, err == nil
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -90,6 +90,9 @@
 type Dialect interface {
 	// RequestID returns the caller's identifier of the request.
 	RequestID(h http.Header) string
+	// Name puts the identifier of the request into the header of an answer that
+	// the node makes itself.
+	Name(h http.Header, id string)
 	// Wait returns how long the caller waits.
 	Wait(h http.Header) (time.Duration, bool)
 	// Mark sets the headers that an upstream expects.
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -405,7 +405,7 @@
 	h := w.Header()
 	h["Content-Type"] = nil
 	if id := g.cfg.Dialect.RequestID(r.Header); id != "" {
-		h.Set("Request-Id", id)
+		g.cfg.Dialect.Name(h, id)
 	}
 	h.Set(headerOutcome, o.String())
 	h.Set(headerReason, reason)
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -139,8 +139,8 @@
 	}
 	id := words[0]
 	x := &exchange.Call{
-		Addr: addr, Method: "GET", Target: "/" + id, Host: "h", Header: http.Header{"Request-Id": {id}},
-		Deadline: time.Now().Add(2 * time.Second), Match: func(h http.Header) bool { return h.Get("Request-Id") == id },
+		Addr: addr, Method: "GET", Target: "/" + id, Host: "h", Header: http.Header{"X-Exchange": {id}},
+		Deadline: time.Now().Add(2 * time.Second), Match: func(h http.Header) bool { return h.Get("X-Exchange") == id },
 	}
 	if n, err := strconv.Atoi(o["body"]); err == nil {
 		x.Method, x.Body, x.Length = "POST", strings.NewReader(strings.Repeat("x", n)), int64(n)
