Let waiting requests go when their host stays slow

Cause: a request that waited for its host to recover was not compared with other upstreams again, and the gate expected a disturbance to end in 0.25 s; measured are 0.53 s.

--- a/coordination/capacity/gate.go
+++ b/coordination/capacity/gate.go
@@ -216,18 +216,32 @@
 	if g.running >= g.limit {
 		wait = g.drain(g.ahead(ask, now), now)
 	}
-	miss, finish := placement.Expect(now, wait, ask.Work, g.currentFactor(now)*g.slowness(now), ask.Objective, ask.Deadline)
-	if ask.Elsewhere > 0 {
-		if own := 1 - (1-miss)*(1-g.failShare(now)); own > ask.Elsewhere+bounceMargin {
-			return Refusal{Reason: Slower}
-		}
+	if g.betterElsewhere(now, wait, ask) {
+		return Refusal{Reason: Slower}
 	}
+	_, finish := g.expect(now, wait, ask)
 	if wait > 0 && g.givesUp(now, finish+finish/waitMargin, ask) {
 		return Refusal{Reason: Full, After: wait}
 	}
 	return Refusal{}
 }
 
+// expect returns the probability that a request which starts after wait is late,
+// and when it is finished in the mean.
+func (g *Gate) expect(now time.Time, wait time.Duration, ask *Ask) (miss float64, finish time.Duration) {
+	return placement.Expect(now, wait, ask.Work, g.currentFactor(now)*g.slowness(now), ask.Objective, ask.Deadline)
+}
+
+// betterElsewhere reports whether the entry node of a request knows a better
+// upstream than this one.
+func (g *Gate) betterElsewhere(now time.Time, wait time.Duration, ask *Ask) bool {
+	if ask.Elsewhere <= 0 {
+		return false
+	}
+	miss, _ := g.expect(now, wait, ask)
+	return 1-(1-miss)*(1-g.failShare(now)) > ask.Elsewhere+bounceMargin
+}
+
 // ahead counts the waiting requests that go before ask.
 func (g *Gate) ahead(ask *Ask, now time.Time) int {
 	return sort.Search(len(g.queue), func(i int) bool { return g.before(ask, g.queue[i].ask, now) })
@@ -315,6 +329,11 @@
 		}
 		switch g.verdict(now, w.ask) {
 		case waits:
+			// The host has stayed slow for longer than was expected.
+			if g.betterElsewhere(now, 0, w.ask) {
+				w.result <- Slower
+				continue
+			}
 			keep = append(keep, w)
 		case hopeless:
 			w.result <- Full
--- a/coordination/capacity/hosts_test.go
+++ b/coordination/capacity/hosts_test.go
@@ -197,16 +197,31 @@
 	{perSecond: 58.6, work: 120 * time.Millisecond, priority: 2, objective: 400 * time.Millisecond, deadline: time.Second},
 }
 
-func TestFleet(t *testing.T) {
-	for _, n := range []int{5, 3, 2} {
+// TestDisturbedHosts plays the load of floor-desk on hosts that are slow for 43% of
+// the time, with all five upstreams and with those that are left on the days with
+// trouble. Without regard to the hosts 57% would be in time. What fits twice must
+// be in time for nine tenths, what just fits for three quarters, and no more than
+// one request in thirty may be held for more than half of its deadline in vain.
+func TestDisturbedHosts(t *testing.T) {
+	for _, c := range []struct {
+		upstreams int
+		inTime    float64
+	}{{5, 0.9}, {3, 0.9}, {2, 0.75}} {
 		var sum outcome
 		for seed := range uint64(6) {
-			for _, o := range playFleet(t, n, 12, 0.43, desk, 30*time.Second, seed) {
+			for _, o := range playFleet(t, c.upstreams, 12, 0.43, desk, 30*time.Second, seed) {
 				sum.add(o)
 			}
 		}
-		a := float64(sum.asked)
-		t.Logf("%d upstreams: in time %.3f late %.3f lost %.3f refused %.3f held long %.3f", n, float64(sum.inTime)/a, float64(sum.late)/a, float64(sum.lost)/a, float64(sum.refused)/a, float64(sum.heldLong)/a)
+		part := func(n int) float64 { return float64(n) / float64(sum.asked) }
+		t.Logf("%d upstreams: in time %.3f, late %.3f, lost %.3f, refused %.3f, held long %.3f",
+			c.upstreams, part(sum.inTime), part(sum.late), part(sum.lost), part(sum.refused), part(sum.heldLong))
+		if part(sum.inTime) < c.inTime {
+			t.Errorf("%d upstreams: %.3f of the requests are in time, want %.2f", c.upstreams, part(sum.inTime), c.inTime)
+		}
+		if part(sum.heldLong) > 1.0/30 {
+			t.Errorf("%d upstreams: %.3f of the requests are held in vain", c.upstreams, part(sum.heldLong))
+		}
 	}
 }
 
--- a/coordination/placement/miss.go
+++ b/coordination/placement/miss.go
@@ -22,7 +22,7 @@
 	// disturbed is the slowdown from which a host counts as disturbed.
 	disturbed = 1.5
 	// quietTime is how long a disturbance goes on in the mean once it was seen.
-	quietTime = 250 * time.Millisecond
+	quietTime = 500 * time.Millisecond
 	// workSlack covers the spread of the work when the time for it is reserved.
 	workSlack = 1.2
 )
