Bound the lines a second of the log, failures last

A storm of refusals wrote a line for each; only a slow reader bounded them. The test plays 30,000 refusals in 30 s.

--- a/transport/events/bounded.go
+++ b/transport/events/bounded.go
@@ -1,6 +1,7 @@
 package events
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -8,29 +9,80 @@
 	"time"
 )
 
-// drainTime bounds how long Close waits for a reader that takes nothing.
-const drainTime = 200 * time.Millisecond
+const (
+	// drainTime bounds how long Close waits for a reader that takes nothing.
+	drainTime = 200 * time.Millisecond
+	// burstSeconds is for how long lines may come at more than their rate: the
+	// start of a failure is what explains it.
+	burstSeconds = 5
+	// keptShare is the share of the burst that is kept for warnings and errors.
+	keptShare = 0.5
+)
+
+// Limits bound a log.
+type Limits struct {
+	// Lines is the number of lines that may wait for a slow reader.
+	Lines int
+	// Rate is the number of lines a second, 0 for no limit.
+	Rate int
+}
 
-// Bounded is a writer that never blocks its callers: lines wait in a bounded
-// queue for a reader that may be slow, and are dropped and counted when the
-// queue is full.
+// Bounded is a writer that never blocks its callers and whose volume is bounded:
+// lines wait in a bounded queue for a reader that may be slow, and are dropped and
+// counted when the queue is full or when there are more than the rate allows.
+// Warnings and errors are dropped last.
 type Bounded struct {
 	w       io.Writer
 	queue   chan []byte
 	dropped atomic.Uint64
 	done    chan struct{}
 	once    sync.Once
+	rate    float64
+
+	mu    sync.Mutex
+	spare float64 // lines that may be written at once
+	at    time.Time
 }
 
-// NewBounded returns a writer in front of w that holds at most so many lines.
-func NewBounded(w io.Writer, lines int) *Bounded {
-	b := &Bounded{w: w, queue: make(chan []byte, lines), done: make(chan struct{})}
+// NewBounded returns a writer in front of w.
+func NewBounded(w io.Writer, l Limits) *Bounded {
+	b := &Bounded{
+		w: w, queue: make(chan []byte, l.Lines), done: make(chan struct{}),
+		rate: float64(l.Rate), spare: burstSeconds * float64(l.Rate), at: time.Now(),
+	}
 	go b.run()
 	return b
 }
 
+// allows takes a line from the rate.
+func (b *Bounded) allows(p []byte) bool {
+	if b.rate == 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, burst := time.Now(), burstSeconds*b.rate
+	b.spare = min(burst, b.spare+now.Sub(b.at).Seconds()*b.rate)
+	b.at = now
+	least := 1.0
+	if !bytes.Contains(p, warning) && !bytes.Contains(p, failure) {
+		least += keptShare * burst
+	}
+	if b.spare < least {
+		return false
+	}
+	b.spare--
+	return true
+}
+
+var warning, failure = []byte(" level=warn "), []byte(" level=error ")
+
 // Write implements io.Writer. It always succeeds.
 func (b *Bounded) Write(p []byte) (int, error) {
+	if !b.allows(p) {
+		b.dropped.Add(1)
+		return len(p), nil
+	}
 	line := append([]byte(nil), p...)
 	select {
 	case b.queue <- line:
@@ -40,7 +92,7 @@
 	return len(p), nil
 }
 
-// Dropped returns the number of lines that found the queue full.
+// Dropped returns the number of lines that were not written.
 func (b *Bounded) Dropped() uint64 { return b.dropped.Load() }
 
 func (b *Bounded) run() {
--- a/transport/events/bounded_test.go
+++ b/transport/events/bounded_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -31,7 +32,7 @@
 func TestStalledReaderBlocksNobody(t *testing.T) {
 	is := is.New(t)
 	s := &stalled{release: make(chan struct{})}
-	b := events.NewBounded(s, 10)
+	b := events.NewBounded(s, events.Limits{Lines: 10})
 	l := events.New(b, "info", "node", "n1")
 	began := time.Now()
 	for range 1000 {
@@ -46,3 +47,32 @@
 	defer s.mu.Unlock()
 	is.True(strings.Contains(s.buf.String(), `event="log lines dropped" dropped=`))
 }
+
+// Guards against a storm of refusals that fills the disk of the log, and against
+// one that hides the failures behind it.
+func TestStormStaysWithinTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var buf bytes.Buffer
+		const rate, seconds = 20, 30
+		b := events.NewBounded(&buf, events.Limits{Lines: 10_000, Rate: rate})
+		l := events.New(b, "info", "node", "n1")
+		for range seconds {
+			for range 1000 {
+				l.Info().Msg("request refused")
+			}
+			l.Warn().Msg("upstream failed")
+			time.Sleep(time.Second)
+		}
+		l.Info().Msg("last")
+		b.Close()
+		lines := strings.Count(buf.String(), "\n")
+		told := strings.Count(buf.String(), "log lines dropped")
+		if most := rate*seconds + 5*rate + 1; lines-told > most {
+			t.Errorf("%d lines in %d s, at most %d may be written", lines-told, seconds, most)
+		}
+		is.Equal(strings.Count(buf.String(), "upstream failed"), seconds)
+		is.True(b.Dropped() > 29_000)
+		is.True(told > 0)
+	})
+}
