Estimate when the first slot is free

Cause: the wait of the most urgent request was taken to be the mean of what runs, not the time until the first slot is free.

The cautious mean stays where another upstream or the objective is the question; the deadline goes by the first free slot.

--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -52,6 +52,9 @@
 	// waitMargin is the part of the expected time that is kept in reserve before a
 	// request is let into the queue: those before it may take a little longer.
 	waitMargin = 10
+	// overdue is when a request is expected to leave that has taken longer than
+	// expected already.
+	overdue = 20 * time.Millisecond
 	// maxWaiting bounds the queue; what waits longer is of no use to anybody.
 	maxWaiting = 1024
 )
--- a/coordination/capacity/gate.go
+++ b/coordination/capacity/gate.go
@@ -212,16 +212,20 @@
 	if after, ok := g.warming(now); !ok {
 		return Refusal{Reason: Warming, After: after}
 	}
-	wait := time.Duration(0)
+	wait, first := time.Duration(0), time.Duration(0)
 	if g.running >= g.limit {
-		wait = g.drain(g.ahead(ask, now), now)
+		ahead := g.ahead(ask, now)
+		wait, first = g.drain(ahead, now), g.first(ahead, now)
 	}
 	if g.betterElsewhere(now, wait, ask) {
 		return Refusal{Reason: Slower}
 	}
-	_, finish := g.expect(now, wait, ask)
-	if wait > 0 && g.givesUp(now, finish+finish/waitMargin, ask) {
-		return Refusal{Reason: Full, After: wait}
+	margin := func(wait time.Duration) time.Duration {
+		_, finish := g.expect(now, wait, ask)
+		return finish + finish/waitMargin
+	}
+	if wait > 0 && g.givesUp(now, margin(wait), margin(first), ask) {
+		return Refusal{Reason: Full, After: first}
 	}
 	return Refusal{}
 }
@@ -270,8 +274,9 @@
 	sort.SliceStable(g.queue, func(i, j int) bool { return g.before(g.queue[i].ask, g.queue[j].ask, now) })
 }
 
-// drain returns how long it takes until a slot is free for a request with so
-// many others before it in the queue. Nothing starts while the host is disturbed.
+// drain returns how long it takes until the slots have worked off what runs and so
+// many of the requests that wait. It is the cautious estimate of a wait: more
+// urgent requests may still come. Nothing starts while the host is disturbed.
 func (g *Gate) drain(ahead int, now time.Time) time.Duration {
 	var left, work time.Duration
 	for t := range g.tickets {
@@ -280,10 +285,39 @@
 	for _, w := range g.queue[:ahead] {
 		work += w.ask.Work
 	}
-	work = time.Duration(float64(work) * g.slowness(now) / (1 - min(g.share, maxShare)))
+	work = time.Duration(float64(work) * g.stretch(now))
 	return (left + work) / time.Duration(max(1, g.limit))
 }
 
+// first returns how long it takes until a slot is free for a request with so many
+// others before it in the queue, when no more urgent ones come: each takes the slot
+// that is free first.
+func (g *Gate) first(ahead int, now time.Time) time.Duration {
+	free := make([]time.Duration, 0, max(g.limit, len(g.tickets)))
+	for t := range g.tickets {
+		free = append(free, max(overdue, t.ends.Sub(now)))
+	}
+	for len(free) < g.limit {
+		free = append(free, 0)
+	}
+	sort.Slice(free, func(i, j int) bool { return free[i] < free[j] })
+	// With a limit below the number that runs, the first to leave free no slot.
+	free = free[len(free)-max(1, g.limit):]
+	stretch := g.stretch(now)
+	for _, w := range g.queue[:ahead] {
+		next := free[0] + time.Duration(float64(w.ask.Work)*stretch)
+		i := sort.Search(len(free), func(i int) bool { return free[i] > next })
+		copy(free, free[1:i])
+		free[i-1] = next
+	}
+	return free[0]
+}
+
+// stretch is how much longer than its work a request keeps a slot from others.
+func (g *Gate) stretch(now time.Time) float64 {
+	return g.slowness(now) / (1 - min(g.share, maxShare))
+}
+
 func (g *Gate) insert(w *waiter, now time.Time) {
 	i := g.ahead(w.ask, now)
 	g.queue = append(g.queue, nil)
@@ -353,12 +387,12 @@
 	}
 }
 
-// givesUp reports whether a request that would be finished after d is refused
-// instead. With more requests waiting than run, each late answer would make
-// another one late: those that miss their objective are refused then.
-func (g *Gate) givesUp(now time.Time, d time.Duration, ask *Ask) bool {
-	end := now.Add(d)
-	return end.After(ask.Deadline) || len(g.queue) > g.limit && end.After(ask.Objective)
+// givesUp reports whether a request that would be finished after d, and after
+// soonest if no more urgent ones come, is refused instead. With more requests
+// waiting than run, each late answer would make another one late: those that miss
+// their objective are refused then.
+func (g *Gate) givesUp(now time.Time, d, soonest time.Duration, ask *Ask) bool {
+	return now.Add(soonest).After(ask.Deadline) || len(g.queue) > g.limit && now.Add(d).After(ask.Objective)
 }
 
 // prune refuses the waiting requests that can no longer be finished in time,
@@ -367,8 +401,8 @@
 func (g *Gate) prune(now time.Time) {
 	for i := 0; i < len(g.queue); {
 		w := g.queue[i]
-		d := g.drain(i, now) + time.Duration(float64(w.ask.Work)*g.slowness(now))
-		if !g.givesUp(now, d, w.ask) {
+		work := time.Duration(float64(w.ask.Work) * g.slowness(now))
+		if !g.givesUp(now, g.drain(i, now)+work, g.first(i, now)+work, w.ask) {
 			i++
 			continue
 		}
