Say nothing behind the last answer of a connection

Found by reading: unreadable bytes that came before an answer that announces the close were answered with 400 behind it. The test failed before.

--- a/transport/ingress/conn.go
+++ b/transport/ingress/conn.go
@@ -64,6 +64,9 @@
 		if alone || err != nil || !mayOverlap(r) {
 			<-turn
 		}
+		if c.isClosing() {
+			break // the answer before was announced as the last one
+		}
 		if err != nil {
 			c.s.cfg.Log.Info().Str("peer", c.nc.RemoteAddr().String()).Int("status", status).Err(err).Msg("request not readable")
 			c.refuse(status)
--- a/transport/ingress/pipeline_test.go
+++ b/transport/ingress/pipeline_test.go
@@ -200,6 +200,29 @@
 	is.Equal(err, io.EOF) // closed, not reset
 }
 
+// Nothing may follow an answer that announces the end of the connection, also when
+// unreadable bytes came before it was sent.
+func TestNothingFollowsTheLastAnswer(t *testing.T) {
+	is := is.New(t)
+	began, goOn := make(chan struct{}, 1), make(chan struct{})
+	s, addr := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		began <- struct{}{}
+		<-goOn
+		w.WriteHeader(http.StatusNoContent)
+	})
+	c, br := dial(t, addr)
+	_, err := io.WriteString(c, get("/1")+"hello\r\n\r\n")
+	is.NoErr(err)
+	<-began
+	time.Sleep(20 * time.Millisecond) // the rest is read
+	s.Drain()
+	close(goOn)
+	res := answer(t, br, "GET")
+	is.True(res.close)
+	_, err = br.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
 // Whatever a caller sends, answers stay apart: a body that was not read is not
 // taken for the next request.
 func TestUnreadBodyIsNoRequest(t *testing.T) {
