Allow each write of an answer its time, also after a pause

Found by reading: the end of a chunked answer kept the deadline of the write before it, so an upstream that pauses for 30 s before the end lost its answer.

--- a/transport/ingress/response.go
+++ b/transport/ingress/response.go
@@ -67,7 +67,7 @@
 		return
 	}
 	<-w.turn
-	_ = w.c.nc.SetWriteDeadline(time.Now().Add(writeTime)) // a closed connection shows in the write
+	w.extend()
 	bw := w.c.bw
 	if status < http.StatusOK {
 		w.interim(status)
@@ -135,7 +135,7 @@
 	if w.length >= 0 && w.written+int64(len(p)) > w.length {
 		return 0, http.ErrContentLength
 	}
-	_ = w.c.nc.SetWriteDeadline(time.Now().Add(writeTime)) // a closed connection shows in the write
+	w.extend()
 	if w.chunked {
 		_, err := fmt.Fprintf(w.c.bw, "%x\r\n", len(p))
 		w.fail(err)
@@ -155,16 +155,24 @@
 	if w.status == 0 {
 		w.WriteHeader(http.StatusOK)
 	}
+	w.extend()
 	w.fail(w.c.bw.Flush())
 	return w.failed
 }
 
+// extend allows the next write its time. The one before may be long ago: an
+// upstream may pause within its answer.
+func (w *response) extend() {
+	_ = w.c.nc.SetWriteDeadline(time.Now().Add(writeTime)) // a closed connection shows in the write
+}
+
 // finish completes the answer.
 func (w *response) finish() error {
 	if w.status == 0 {
 		w.header.Set("Content-Length", "0")
 		w.WriteHeader(http.StatusOK)
 	}
+	w.extend()
 	if w.length > w.written {
 		return errors.Newf("answer ends after %d bytes of %d", w.written, w.length)
 	}
