Send late subscribers the current failure domains; time feeds by the steady clock

Cause: the hub caches an update by its document versions. A node that subscribed after a failure domain had changed at the same version took the domains from the cached state under the new revision and counted as current. The domains now always come from the message. A failed compression no longer advances the session; the next message tries again.

Cause: hubs and subscribers stored the arrival of the last message as time of day. A jump ahead cut feeds and marked nodes as gone, a jump back kept a silent subscriber. They now keep a time.Time with its steady reading, and internal/testclock steps the two readings apart in tests.

Incarnations of node records are counted by the process instead of taken from the clock. The hub raises the first record of a restarted node above the stored one before it answers, so no request sees the former record (one round trip before). A record of another control host that overrides a connected node is refuted by the node at once; records with equal incarnations have the same order in every directory.

Ruled out: an order by start time with a correction for clocks that were set back, which still needs the refutation.

TestLateSubscriberLearnsOfDomainsOut, TestTimeOfDayJumpsAhead and TestTimeOfDayJumpsBackBeforeSilence failed before.

--- a/controlhost/group.go
+++ b/controlhost/group.go
@@ -322,9 +322,9 @@
 	for addr, peer := range p.byAddr {
 		lastHeard := peer.client.LastHeard()
 		switch {
-		case lastHeard.Unix() > 0 && now.Sub(lastHeard) < peerTimeout:
+		case !lastHeard.IsZero() && now.Sub(lastHeard) < peerTimeout:
 			peer.lost = false
-		case lastHeard.Unix() > 0 && !peer.lost:
+		case !lastHeard.IsZero() && !peer.lost:
 			peer.lost = true
 			names := h.nodes.MarkSourceGone(addr, now)
 			h.cfg.Log.Warn().Str("host", addr).Int("nodes", len(names)).Msg("control host silent; marking its nodes as gone")
--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -14,6 +14,7 @@
 package directory
 
 import (
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -51,14 +52,14 @@
 	return &Directory{entries: make(map[string]*Entry), changed: make(chan struct{})}
 }
 
-// Put stores a record if it is newer than the stored one, and reports whether it was. If the
-// record is delivered again with the same incarnation and state, only the source is updated.
+// Put stores a record if it is newer than the stored one, and reports whether it was. If the same
+// record is delivered again, only the source is updated.
 func (d *Directory) Put(n mulberrylink.Node, source string, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e, ok := d.entries[n.Name]
-	if ok && n.Incarnation <= e.Node.Incarnation {
-		if n.Incarnation == e.Node.Incarnation && n.State == e.Node.State {
+	if ok && !newer(&n, &e.Node) {
+		if n == e.Node {
 			e.Source = source
 		}
 		return false
@@ -67,6 +68,21 @@
 	return true
 }
 
+// newer reports whether n replaces the stored record. Incarnations are counted, not taken from a
+// clock, so two records can have the same one: a control host marked a node as gone while the node
+// announced itself at another host, or a restarted node counted up to the incarnation of its former
+// process. A record of a live node then replaces one that is gone; otherwise the order is arbitrary
+// but the same in every directory, and the node itself corrects the outcome.
+func newer(n, stored *mulberrylink.Node) bool {
+	switch {
+	case n.Incarnation != stored.Incarnation:
+		return n.Incarnation > stored.Incarnation
+	case (n.State == mulberrylink.NodeGone) != (stored.State == mulberrylink.NodeGone):
+		return stored.State == mulberrylink.NodeGone
+	}
+	return *n != *stored && fmt.Sprint(*n) > fmt.Sprint(*stored)
+}
+
 func (d *Directory) put(n mulberrylink.Node, source string, now time.Time) {
 	d.revision++
 	d.entries[n.Name] = &Entry{Node: n, Source: source, UpdatedAt: now, revision: d.revision}
--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -50,13 +50,15 @@
 	// NodeName is the name of the subscribing node. The client ignores records of this node that a
 	// hub sends.
 	NodeName string
-	Log      *log.Logger
+	// Now returns the current time, time.Now if it is nil.
+	Now func() time.Time
+	Log *log.Logger
 }
 
 // Client subscribes to the hub of one control host at a time.
 type Client struct {
 	cfg       ClientConfig
-	lastHeard atomic.Int64 // Unix nanoseconds
+	lastHeard atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	hosts []Host
@@ -70,6 +72,9 @@
 
 // NewClient returns a client that subscribes once Run is called.
 func NewClient(cfg ClientConfig) *Client {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	c := &Client{cfg: cfg, failedAt: make(map[string]time.Time), selfChanged: make(chan struct{}, 1), state: &document.State{}}
 	c.AddSeeds(cfg.Seeds)
 	return c
@@ -130,7 +135,7 @@
 
 // rank returns the preference of a control host; the lowest rank is tried first.
 func (c *Client) rank(h Host) int {
-	if at, ok := c.failedAt[h.Addr]; ok && time.Since(at) < failedHostPenalty {
+	if at, ok := c.failedAt[h.Addr]; ok && c.cfg.Now().Sub(at) < failedHostPenalty {
 		return 2 // an unresponsive host still accepts connections and delays the subscriber
 	}
 	if c.cfg.Domain != "" && h.Domain == c.cfg.Domain {
@@ -155,16 +160,21 @@
 }
 
 // LastHeard returns when the client last received a message from a control host that knows a leader.
-func (c *Client) LastHeard() time.Time { return time.Unix(0, c.lastHeard.Load()) }
+func (c *Client) LastHeard() time.Time {
+	if at := c.lastHeard.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
 
 // Run follows one control host after another until ctx is done.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		noLeaderCount, addrs := 0, c.hostsByPreference()
 		for _, addr := range addrs {
-			start := time.Now()
+			start := c.cfg.Now()
 			err := c.follow(ctx, addr)
-			longLived := time.Since(start) > silenceTimeout
+			longLived := c.cfg.Now().Sub(start) > silenceTimeout
 			if longLived {
 				c.cfg.Log.Warn().Str("host", addr).Err(err).Msg("feed of control host lost")
 			} else {
@@ -174,7 +184,7 @@
 				break
 			}
 			c.mu.Lock()
-			c.failedAt[addr] = time.Now()
+			c.failedAt[addr] = c.cfg.Now()
 			c.mu.Unlock()
 			if errors.Is(err, errNoLeader) {
 				noLeaderCount++
@@ -243,7 +253,8 @@
 			return errNearerHost
 		}
 		if !m.NoLeader {
-			c.lastHeard.Store(time.Now().UnixNano())
+			now := c.cfg.Now()
+			c.lastHeard.Store(&now)
 		} else if c.cfg.HostName == "" {
 			return errNoLeader
 		}
@@ -280,7 +291,7 @@
 
 // handleMessage applies a message of the hub at addr.
 func (c *Client) handleMessage(m *hubMessage, addr string) error {
-	now := time.Now()
+	now := c.cfg.Now()
 	for _, n := range m.Nodes {
 		if n.Name != c.cfg.NodeName {
 			c.cfg.Directory.Put(n, addr, now)
@@ -325,13 +336,15 @@
 		case err != nil:
 			return nil, err
 		case update.Full != nil:
-			return update.Full, nil
+			next = *update.Full
 		case update.Change == nil || update.Change.BaseVersion != c.state.Version:
 			c.state = &document.State{} // makes the next hub send the whole state
 			return nil, errBaseMismatch
+		default:
+			next = *c.state.Apply(update.Change)
 		}
-		next = *c.state.Apply(update.Change)
 	}
+	// A cached update may be older than the last change of the failure domains.
 	next.DomainsOut, next.Revision = m.DomainsOut, m.Revision
 	return &next, nil
 }
--- a/protocol/feed/hub.go
+++ b/protocol/feed/hub.go
@@ -36,7 +36,9 @@
 	Hosts func() []Host
 	// Domain is the failure domain of this control host.
 	Domain string
-	Log    *log.Logger
+	// Now returns the current time, time.Now if it is nil.
+	Now func() time.Time
+	Log *log.Logger
 }
 
 // Hub serves the feeds of the subscribers of one control host.
@@ -47,11 +49,16 @@
 	mu      sync.Mutex
 	history []*document.State       // in ascending order of version
 	updates map[versionRange][]byte // compressed updates to the newest version
+	// compress is compressUpdate, apart from tests of its failure.
+	compress func(*documentUpdate) ([]byte, error)
 }
 
 // NewHub returns a hub without subscribers.
 func NewHub(cfg HubConfig) *Hub {
-	return &Hub{cfg: cfg, updates: make(map[versionRange][]byte)}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Hub{cfg: cfg, updates: make(map[versionRange][]byte), compress: compressUpdate}
 }
 
 // Method returns the name and the handler of the RPC method.
@@ -67,8 +74,9 @@
 	source   string // source of the subscriber's record in the directory
 	hostName string // set if the subscriber is a control host
 
-	lastHeard         atomic.Int64 // Unix nanoseconds
-	storedIncarnation chan uint64  // see hubMessage.StoredIncarnation
+	nodeName          string // set if the subscriber is a node
+	lastHeard         atomic.Pointer[time.Time]
+	storedIncarnation chan uint64 // see hubMessage.StoredIncarnation
 	directoryRevision uint64       // of the records sent last
 	version           uint64       // of the subscriber's document
 	stateRevision     uint64       // of the subscriber's state
@@ -85,8 +93,8 @@
 		source:  fmt.Sprintf("%s%d", sessionPrefix, h.lastSession.Add(1)),
 		version: first.Version, stateRevision: first.Revision,
 	}
-	s.lastHeard.Store(time.Now().UnixNano())
-	s.storeRecord(first.Node)
+	s.markHeard()
+	s.storeFirstRecord(first.Node)
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	go func() {
@@ -96,14 +104,14 @@
 			if err := stream.MsgRecv(&m, codec.Encoding{}); err != nil {
 				return
 			}
-			s.lastHeard.Store(time.Now().UnixNano())
+			s.markHeard()
 			s.storeRecord(m.Node)
 		}
 	}()
 	err := s.sendUpdates(ctx)
 	if s.hostName == "" {
 		time.AfterFunc(reconnectGracePeriod, func() {
-			for _, name := range h.cfg.Directory.MarkSourceGone(s.source, time.Now()) {
+			for _, name := range h.cfg.Directory.MarkSourceGone(s.source, h.cfg.Now()) {
 				h.cfg.Log.Warn().Str("node", name).Msg("node lost: its feed ended and it has not come back")
 			}
 		})
@@ -111,6 +119,28 @@
 	return err
 }
 
+// markHeard records that a message of the subscriber has arrived.
+func (s *session) markHeard() {
+	now := s.hub.cfg.Now()
+	s.lastHeard.Store(&now)
+}
+
+// storeFirstRecord stores the record of a node that has just subscribed. A process starts to count
+// its incarnations at 1, so the hub raises the incarnation of a restarted one above the stored
+// record and tells the node. No clock takes part in the order.
+func (s *session) storeFirstRecord(n *mulberrylink.Node) {
+	if n == nil {
+		return
+	}
+	s.nodeName = n.Name
+	record := *n
+	if e, ok := s.hub.cfg.Directory.Get(n.Name); ok && e.Node.Incarnation >= n.Incarnation {
+		record.Incarnation = e.Node.Incarnation + 1
+		s.storedIncarnation <- e.Node.Incarnation
+	}
+	s.storeRecord(&record)
+}
+
 // storeRecord stores the subscriber's record in the directory. If the directory keeps a newer record,
 // as after the clock of the node was set back, the node is sent the incarnation to exceed.
 func (s *session) storeRecord(n *mulberrylink.Node) {
@@ -118,7 +148,7 @@
 		return
 	}
 	d := s.hub.cfg.Directory
-	if d.Put(*n, s.source, time.Now()) {
+	if d.Put(*n, s.source, s.hub.cfg.Now()) {
 		s.hub.cfg.Log.Info().Str("node", n.Name).Str("state", n.State.String()).Str("upstream", n.Upstream.String()).
 			Str("service", n.Service).Uint64("incarnation", n.Incarnation).Msg("node record")
 		return
@@ -157,7 +187,7 @@
 		case <-stateChanged:
 		case <-heartbeat.C:
 		}
-		if time.Since(time.Unix(0, s.lastHeard.Load())) > silenceTimeout {
+		if s.hub.cfg.Now().Sub(*s.lastHeard.Load()) > silenceTimeout {
 			return errPeerSilent
 		}
 	}
@@ -169,7 +199,14 @@
 	entries, revision, changed := s.hub.cfg.Directory.ChangedSince(s.directoryRevision)
 	s.directoryRevision = revision
 	for _, e := range entries {
-		if e.Source != s.source && (s.hostName == "" || isSession(e.Source)) {
+		switch {
+		case s.nodeName != "" && e.Node.Name == s.nodeName:
+			if e.Source != s.source {
+				// Another control host has a record of an earlier process of this node, or has marked
+				// it as gone. The node is here and answers with a record of a higher incarnation.
+				m.StoredIncarnation = e.Node.Incarnation
+			}
+		case e.Source != s.source && (s.hostName == "" || isSession(e.Source)):
 			m.Nodes = append(m.Nodes, e.Node)
 		}
 	}
@@ -189,10 +226,14 @@
 	if s.hostName != "" || state.Revision <= s.stateRevision || state.Version < s.version {
 		return changed
 	}
-	m.DomainsOut, m.Revision = state.DomainsOut, state.Revision
 	if state.Version > s.version {
-		m.CompressedUpdate = s.hub.compressedUpdate(s.version, state)
+		var err error
+		if m.CompressedUpdate, err = s.hub.compressedUpdate(s.version, state); err != nil {
+			s.hub.cfg.Log.Error().Uint64("version", state.Version).Err(err).Msg("document update not compressed; trying again with the next message")
+			return changed // the subscriber still has its earlier revision
+		}
 	}
+	m.DomainsOut, m.Revision = state.DomainsOut, state.Revision
 	s.version, s.stateRevision = state.Version, state.Revision
 	return changed
 }
@@ -222,12 +263,12 @@
 
 // compressedUpdate returns the compressed update from a version to a state. It is cached, so that
 // subscribers with the same version share it.
-func (h *Hub) compressedUpdate(from uint64, to *document.State) []byte {
+func (h *Hub) compressedUpdate(from uint64, to *document.State) ([]byte, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	key := versionRange{from, to.Version}
 	if data, ok := h.updates[key]; ok {
-		return data
+		return data, nil
 	}
 	for k := range h.updates {
 		if k.to != to.Version {
@@ -238,13 +279,12 @@
 	if old := h.stateAt(from); old != nil {
 		update = &documentUpdate{Change: document.Diff(old, to)}
 	}
-	data, err := compressUpdate(update)
+	data, err := h.compress(update)
 	if err != nil {
-		h.cfg.Log.Error().Uint64("version", to.Version).Err(err).Msg("document update not compressed")
-		return nil
+		return nil, err
 	}
 	h.updates[key] = data
-	return data
+	return data, nil
 }
 
 // stateAt returns the state with a version from the history, or nil.
