Order node group records without a clock; keep the steady reading of arrival times

Cause: the incarnation of a node of cmd/mulberrynode was its start time by the time of day. After a jump back, the record of the former process stayed in force until the node heard of it by gossip. A member now sends the stored record to the restarted node itself, which continues from there.

The arrival times of watch frames and datagrams lost their steady reading. A page that promises more records and has none ended the process.

--- a/cmd/mulberrynode/join.go
+++ b/cmd/mulberrynode/join.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
@@ -28,7 +27,6 @@
 	group := membership.NewGroup(membership.Config{
 		Self: mulberrylink.Node{
 			Name: cfg.Node.Name, Domain: cfg.Node.Domain, Addr: cfg.Listen.RPC, Front: cfg.Listen.Front,
-			Incarnation: uint64(time.Now().UnixMilli()), //nolint:gosec // not before 1970
 		},
 		Seeds:  cfg.Peers.Seeds,
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/coordination/membership/core.go
+++ b/coordination/membership/core.go
@@ -38,8 +38,8 @@
 
 // Config describes one member.
 type Config struct {
-	// Self is the member's own record. Its Incarnation should be the start time in
-	// milliseconds, so that the record after a restart is newer than the one that others hold.
+	// Self is the member's own record. Its Incarnation counts from the start of the process:
+	// other members send a restarted one the record that they hold, and it continues from there.
 	Self mulberrylink.Node
 	// Seeds are the addresses of members through which a new member joins.
 	Seeds []string
--- a/coordination/membership/group.go
+++ b/coordination/membership/group.go
@@ -31,7 +31,7 @@
 	done     chan struct{}
 
 	view       atomic.Pointer[view]
-	lastHeard  atomic.Int64 // Unix time in nanoseconds
+	lastHeard  atomic.Pointer[time.Time]
 	maxVersion atomic.Pointer[peerVersion]
 	sentBytes  atomic.Uint64
 }
@@ -139,11 +139,10 @@
 
 // LastHeard returns when the last datagram from another member arrived.
 func (g *Group) LastHeard() time.Time {
-	ns := g.lastHeard.Load()
-	if ns == 0 {
-		return time.Time{}
+	if at := g.lastHeard.Load(); at != nil {
+		return *at
 	}
-	return time.Unix(0, ns)
+	return time.Time{}
 }
 
 // SentBytes returns the estimated number of bytes sent so far, including UDP and IP headers.
@@ -166,7 +165,7 @@
 // publish makes the state of the core available to other goroutines.
 func (g *Group) publish() {
 	if heard := g.core.LastHeard(); !heard.IsZero() {
-		g.lastHeard.Store(heard.UnixNano())
+		g.lastHeard.Store(&heard)
 	}
 	g.sentBytes.Store(g.core.SentBytes())
 	if v, addr := g.core.MaxVersion(); v != g.maxVersion.Load().version {
--- a/coordination/membership/receive.go
+++ b/coordination/membership/receive.go
@@ -16,6 +16,9 @@
 	c.handleHeader(d)
 	for _, r := range d.Records {
 		c.mergeRecord(now, r)
+		if r.Name == d.From {
+			c.correctSender(r)
+		}
 	}
 	for _, n := range d.Notes {
 		c.mergeNote(now, n)
@@ -87,6 +90,15 @@
 	c.send(m.node.Addr, d)
 }
 
+// correctSender sends a member the stored record of itself if that overrides the record that the
+// member sent. The member has restarted and counts its incarnations from the start; it raises its
+// own above that of its former process.
+func (c *Core) correctSender(r Record) {
+	if m, ok := c.members[r.Name]; ok && recordOf(m.node) != r {
+		c.requestRefutation(m)
+	}
+}
+
 // mergeRecord stores a record if it is newer than the one held, and queues it for dissemination.
 func (c *Core) mergeRecord(now time.Time, r Record) {
 	if !r.valid() {
--- a/coordination/membership/script_test.go
+++ b/coordination/membership/script_test.go
@@ -49,12 +49,11 @@
 }
 
 func (n *network) start(name, service string) {
-	incarnation := uint64(n.now.UnixMilli())
 	n.dead[name] = false
 	n.cores[name] = NewCore(Config{
 		Self: mulberrylink.Node{
 			Name: name, Addr: name, Domain: "d1", Service: service,
-			Incarnation: incarnation, Upstream: mulberrylink.UpstreamUp, Slots: 6,
+			Upstream: mulberrylink.UpstreamUp, Slots: 6,
 		},
 		Seeds:  []string{"n000", "n001", "n002"},
 		Rand:   rand.New(rand.NewPCG(n.rand.Uint64(), 2)),
--- a/coordination/membership/sync.go
+++ b/coordination/membership/sync.go
@@ -126,7 +126,7 @@
 	if !c.joined {
 		c.nextSync = now.Add(syncPageDelay)
 	}
-	if !d.Last {
+	if !d.Last && len(d.Records) > 0 {
 		c.syncCursor = d.Records[len(d.Records)-1].Name
 		return
 	}
--- a/protocol/controlplane/client.go
+++ b/protocol/controlplane/client.go
@@ -35,9 +35,9 @@
 
 // Client calls the control hosts. It is safe for concurrent use.
 type Client struct {
-	pool           ConnPool
-	hosts          []string
-	lastFrameNanos atomic.Int64 // arrival of the last watch frame, since the Unix epoch
+	pool        ConnPool
+	hosts       []string
+	lastFrameAt atomic.Pointer[time.Time] // arrival of the last watch frame
 
 	// Watch and Report each select the hosts round-robin by the count of their calls.
 	watchCount  atomic.Uint32
--- a/protocol/controlplane/client_watch.go
+++ b/protocol/controlplane/client_watch.go
@@ -43,7 +43,8 @@
 			return errors.Wrapf(err, "watch %s", addr)
 		}
 		idleTimer.Reset(watchIdleTimeout)
-		c.lastFrameNanos.Store(time.Now().UnixNano())
+		now := time.Now()
+		c.lastFrameAt.Store(&now)
 		if frame.Version > knownVersion {
 			knownVersion = frame.Version
 			onVersion(frame.Version, frame.EncodedConfig)
@@ -54,8 +55,8 @@
 // LastHeard returns when the last frame of any watch stream arrived, keep-alives included. It
 // returns the zero time before the first frame.
 func (c *Client) LastHeard() time.Time {
-	if ns := c.lastFrameNanos.Load(); ns != 0 {
-		return time.Unix(0, ns)
+	if at := c.lastFrameAt.Load(); at != nil {
+		return *at
 	}
 	return time.Time{}
 }
--- a/protocol/controlplane/watch_test.go
+++ b/protocol/controlplane/watch_test.go
@@ -116,3 +116,17 @@
 	t.Cleanup(func() { cancel(); <-done })
 	return lis.Addr().String()
 }
+
+// Guards against a time of the last frame that a jump of the time of day makes older or younger: the
+// node would reject requests as isolated, or go on with an outdated configuration.
+func TestLastHeardIsSteady(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newClient(t, serve(t, localLog))
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	is.True(c.Watch(ctx, 0, func(uint64, []byte) {}) != nil)
+	heard := c.LastHeard()
+	is.True(!heard.IsZero())
+	is.True(heard != heard.Round(0)) // Round(0) removes the steady reading
+}
