Accept an upstream that restarted after its clock was set back

Cause: heartbeats of an instance with an earlier start time were ignored for good, as those of a former process that were delayed. A second heartbeat of that instance, with none of the known one in between, now shows that it runs: it is accepted after at most two heartbeat intervals. The epoch of a node process is a random number instead of its start time.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -21,8 +21,9 @@
 
 import (
 	"context"
-	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -164,7 +165,7 @@
 type Gateway struct {
 	cfg       Config
 	log       *log.Logger
-	epoch     string // identifies this process when lost exchanges are resolved
+	epoch     string // random identifier of this process, for the resolution of lost exchanges
 	startedAt time.Time
 
 	directory     *directory.Directory
@@ -192,7 +193,7 @@
 // New returns a node that doesn't listen yet; Serve starts it.
 func New(cfg Config) *Gateway {
 	g := &Gateway{
-		cfg: cfg, log: cfg.Log, startedAt: time.Now(), epoch: fmt.Sprintf("%x", time.Now().UnixMicro()),
+		cfg: cfg, log: cfg.Log, startedAt: time.Now(), epoch: strconv.FormatUint(rand.Uint64(), 16),
 		directory: directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
 		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), stats: newStats(cfg.Registry),
@@ -242,6 +243,9 @@
 // and that haven't finished yet.
 func (g *Gateway) InFlight(node string) int { return g.balancer.InFlight(node) }
 
+// Load returns the current load of the upstream beside the node.
+func (g *Gateway) Load() placement.Load { return g.admission.Load() }
+
 // Ready reports whether callers should send requests to this node: it has a
 // configuration and isn't shutting down.
 func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.active.Load() != nil }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -281,6 +281,36 @@
 	is.Equal(n.upstream.header().Get("Test-For"), "i-new")
 }
 
+// Guards against an upstream that is ignored for good, or that is sent requests after it has
+// announced that it stops: the clock of its host was set back while it restarted under the same
+// identifier, so its start time is before that of its former process.
+func TestUpstreamRestartedAfterItsClockWasSetBack(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 4)
+	d.waitReady(n)
+	hb := n.heartbeat
+	hb.Incarnation, hb.Seq = 5000, 20
+	n.announce(hb)
+	delayed := hb
+	delayed.Incarnation, delayed.Seq, delayed.Draining = 4000, 7, true
+	n.g.Upstream().HandleHeartbeat(delayed) // of a former process, between two of the current one
+	hb.Seq = 21
+	n.g.Upstream().HandleHeartbeat(hb)
+	delayed.Seq = 8
+	n.g.Upstream().HandleHeartbeat(delayed)
+	is.Equal(n.send("GET", "/read/1", "a", "").status, http.StatusOK)
+	restarted := hb
+	restarted.Incarnation, restarted.Slots = 1000, 7
+	for restarted.Seq = 1; restarted.Seq <= 2; restarted.Seq++ {
+		n.g.Upstream().HandleHeartbeat(restarted)
+	}
+	is.Equal(n.send("GET", "/read/1", "b", "").status, http.StatusOK)
+	is.Equal(n.g.Load().Slots, 7)
+	n.g.Upstream().Deregister(restarted.ID, restarted.Incarnation)
+	is.Equal(n.send("GET", "/read/1", "c", "").status, http.StatusServiceUnavailable)
+}
+
 // Guards against requests that count as in flight forever after their callers have
 // disconnected or their deadline has passed, so that their upstream is chosen less and less.
 // Also guards against an upstream that never responds and keeps being chosen.
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -39,8 +39,9 @@
 	Draining          bool
 	// Warmup is the remaining warm-up time.
 	Warmup time.Duration
-	// Seq grows with every heartbeat of one incarnation, and Incarnation with every
-	// restart. Incarnation is 0 when it is not known.
+	// Seq grows with every heartbeat of one incarnation. Incarnation is the start time of
+	// the instance by its own clock, 0 when it is not known. It grows with every restart,
+	// unless the clock was set back in between.
 	Seq         uint64
 	Incarnation int64
 }
@@ -51,6 +52,7 @@
 
 	mu             sync.Mutex
 	instance       Heartbeat
+	earlier        Heartbeat // last heartbeat of an instance with an earlier start time
 	deregistered   bool // the instance has announced that it stops
 	down           bool // nothing listens at its address
 	coldUntil      time.Time
@@ -77,12 +79,13 @@
 	u.mu.Lock()
 	cur := u.instance
 	same := hb.ID == cur.ID && (hb.Incarnation == cur.Incarnation || cur.Incarnation == 0 || hb.Incarnation == 0)
-	stale := hb.Incarnation != 0 && hb.Incarnation < cur.Incarnation || same && cur.Seq != 0 && hb.Seq <= cur.Seq
-	if stale {
+	if same && cur.Seq != 0 && hb.Seq <= cur.Seq || u.startedEarlier(&hb) {
 		u.mu.Unlock()
-		u.g.log.Info().Str("upstream", hb.ID).Uint64("seq", hb.Seq).Uint64("known", cur.Seq).Msg("stale heartbeat ignored")
+		u.g.log.Info().Str("upstream", hb.ID).Uint64("seq", hb.Seq).Uint64("known", cur.Seq).
+			Int64("started", hb.Incarnation).Int64("known_started", cur.Incarnation).Msg("stale heartbeat ignored")
 		return
 	}
+	u.earlier = Heartbeat{}
 	hb.Draining = hb.Draining || same && cur.Draining
 	if !same {
 		u.deregistered = false
@@ -99,6 +102,19 @@
 	u.publish()
 }
 
+// startedEarlier reports whether a heartbeat is ignored because its instance started before
+// the known one, and was delayed on its way. An instance that sends a second heartbeat while
+// the known one sends none is running: the clock of the host was set back before it
+// started. The caller holds mu.
+func (u *Upstream) startedEarlier(hb *Heartbeat) bool {
+	if hb.Incarnation == 0 || hb.Incarnation >= u.instance.Incarnation {
+		return false
+	}
+	running := u.earlier.ID == hb.ID && u.earlier.Incarnation == hb.Incarnation && u.earlier.Seq < hb.Seq
+	u.earlier = *hb
+	return !running
+}
+
 // Deregister records that an upstream instance is about to stop.
 func (u *Upstream) Deregister(id string, incarnation int64) {
 	u.mu.Lock()
@@ -171,7 +187,6 @@
 	n := mulberrylink.Node{
 		Name: u.g.cfg.Name, Domain: u.g.cfg.Domain, Service: u.instance.Service, Addr: cmp.Or(u.g.cfg.AdvertisedAddr, u.g.cfg.InboundAddr),
 		State: mulberrylink.NodeReady, Upstream: state, Slots: u.instance.Slots,
-		Incarnation: uint64(now.UnixMicro()),
 	}
 	if u.g.leaving.Load() {
 		n.State = mulberrylink.NodeLeaving
@@ -183,9 +198,7 @@
 			Slots: u.instance.Slots, ColdUntil: u.coldUntil, WarmupRate: service.WarmupRate * u.g.cfg.Tuning.WarmupRateScale,
 		})
 	}
-	previous := u.announced
-	previous.Incarnation = n.Incarnation
-	if previous != n {
+	if u.announced != n {
 		u.announced = n
 		u.g.feed.Announce(n)
 	}
