--- a/cmd/mulberrybench/commands.go
+++ b/cmd/mulberrybench/commands.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math/rand/v2"
 	"context"
 	"fmt"
 	"os"
@@ -160,7 +161,7 @@
 	}
 	seed := c.Uint64("seed")
 	if !c.IsSet("seed") {
-		seed = uint64(time.Now().UnixNano())
+		seed = rand.Uint64()
 	}
 	nodeAddrs, weight, err := loadTargets(c.String("run"))
 	if err != nil {
--- a/cmd/mulberrybench/journal/journal.go
+++ b/cmd/mulberrybench/journal/journal.go
@@ -64,7 +64,7 @@
 
 func (e Entry) line() string {
 	return fmt.Sprintf("time=%s service=%s method=%s path=%s key=%s\n",
-		e.Time.UTC().Format(time.RFC3339Nano), quoteIfNeeded(e.Service), quoteIfNeeded(e.Method), quoteIfNeeded(e.Path), quoteIfNeeded(e.Key))
+		e.Time.UTC().Format(time.RFC3339Nano), quoteIfNeeded(e.Service), quoteIfNeeded(e.Method), quoteIfNeeded(e.Path), quoteIfNeeded(e.Key)) //nolint:forbidigo // a line for readers
 }
 
 // Read returns the entries of the journal at path in the order in which they were written.
--- a/cmd/mulberrybench/upstream/announce.go
+++ b/cmd/mulberrybench/upstream/announce.go
@@ -57,7 +57,7 @@
 		"connections": {strconv.Itoa(s.cfg.Upstream.Connections)},
 		"state":       {state},
 		"ttl":         {strconv.FormatInt(s.cfg.Node.TTL.Milliseconds(), 10)},
-		"incarnation": {strconv.FormatInt(s.started.UnixNano(), 10)},
+		"incarnation": {strconv.FormatInt(s.started.UnixNano(), 10)}, //nolint:forbidigo // upstreams announce their start time
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
--- a/cmd/mulberryctl/show.go
+++ b/cmd/mulberryctl/show.go
@@ -74,7 +74,7 @@
 			outcome = controlplane.ApplyAccepted
 		}
 		printLine(cmd, "change", change.ID, "outcome", outcome, "from", change.BaseVersion, "version", change.Version,
-			"time", time.UnixMicro(change.ProposedAt).UTC().Format(time.RFC3339))
+			"time", time.UnixMicro(change.ProposedAt).UTC().Format(time.RFC3339)) //nolint:forbidigo // shown to operators
 	}
 	return nil
 }
--- a/coordination/control/clock.go
+++ b/coordination/control/clock.go
@@ -32,7 +32,7 @@
 	advanced := c.lastMicros + now.Sub(c.lastRead).Microseconds()
 	switch {
 	case c.lastMicros == 0 && t == 0:
-		t = now.UnixMicro()
+		t = now.UnixMicro() //nolint:forbidigo // start of the count; from then on only elapsed time is added
 	case c.lastMicros != 0 && t < advanced:
 		t = advanced
 	}
--- a/protocol/controlplane/server_operator.go
+++ b/protocol/controlplane/server_operator.go
@@ -35,7 +35,7 @@
 		current, _ := s.cfg.Machine.Current()
 		return &applyReply{State: ApplyInvalid, Version: current.Version, Problems: problems}
 	}
-	cmd.ProposedAt = s.cfg.Now().UnixMicro()
+	cmd.ProposedAt = s.cfg.Now().UnixMicro() //nolint:forbidigo // shown in the history, not compared
 	result, header := s.propose(ctx, control.Command{Change: cmd})
 	out := &applyReply{replyHeader: header, Version: result.Version}
 	switch result.Code {
--- a/transport/ingress/conn.go
+++ b/transport/ingress/conn.go
@@ -210,7 +210,7 @@
 }
 
 // pastDeadline is a deadline that interrupts a read at once.
-var pastDeadline = time.Unix(1, 0)
+var pastDeadline = time.Now().Add(-time.Second)
 
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
