Bound what an upstream or a caller can send; relay large responses whole

Cause: transport/exchange read response heads without a bound, so one header line without end grew until memory was gone, and 10,000 interim responses of any size were accepted. Each head is now bounded to 64 KiB, all interim heads of an exchange to 1 MiB, and a body without a stated length to 64 MiB. The head of a request is bounded to 64 KiB too (256 KiB before): parsed, many short lines take 16 times their size.

Cause: the entry node ended the context of an attempt as soon as its response had begun, which closed the connection under a response of more than 64 KiB. The slot of the upstream is now kept until the whole response has been sent, a response that fails on its way counts against the upstream, and transfer sizes count the whole response.

A pool with MaxIdlePerAddr 0 no longer panics.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -93,13 +93,59 @@
 			Dur("objective", time.Until(req.objective)).Msg("not admitted")
 		return g.reject(rejection.Reason.String(), rejection.RetryAfter)
 	}
-	defer permit.Release()
+	res := g.runAdmitted(ctx, req, enqueuedAt)
+	if res.resp == nil || res.resp.Rest == nil {
+		permit.Release()
+		return res
+	}
+	// The upstream is occupied until it has sent the whole response. An attempt that is
+	// given up ends with its context.
+	stop := context.AfterFunc(ctx, permit.Release)
+	res.resp.Rest = &trackedBody{
+		ReadCloser: res.resp.Rest, onClose: func() { stop(); permit.Release() },
+		onError: func(err error) {
+			if ctx.Err() == nil {
+				g.recordUpstreamFailure(req, &hb, time.Since(enqueuedAt), err)
+			}
+		},
+	}
+	return res
+}
+
+// trackedBody reports the first error and the end of a response body.
+type trackedBody struct {
+	io.ReadCloser
+	onError func(error)
+	onClose func()
+	failed  bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && !b.failed {
+		b.failed = true
+		b.onError(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *trackedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.onClose()
+	return err
+}
+
+// runAdmitted runs a request that has a permit.
+func (g *Gateway) runAdmitted(ctx context.Context, req *upstreamRequest, enqueuedAt time.Time) result {
 	start := time.Now()
 	if wait := start.Sub(enqueuedAt); wait > time.Millisecond {
 		g.stats.observeLatency("admit_wait_us", wait)
 	}
 	// The upstream may have changed while the request waited in the queue.
-	if hb = g.upstream.current(); hb.Service != req.meta.Service {
+	hb := g.upstream.current()
+	if hb.Service != req.meta.Service {
 		return g.reject(reasonNoService, 0)
 	}
 	if active := g.active.Load(); active != nil && active.state.IsDomainOut(g.cfg.Domain) {
@@ -182,11 +228,16 @@
 	// A caller that disconnects early tells nothing about the upstream. One that
 	// waited until its deadline does.
 	if ctx.Err() == nil || !time.Now().Before(req.deadline.Add(-entryDeadlineSlack)) {
-		g.admission.RecordResult(0, 0, true)
-		g.upstream.requestProbe()
-		g.stats.count("upstream_failed")
-		g.log.Warn().Str("request", g.cfg.Headers.RequestID(req.header)).Str("exchange", req.meta.ExchangeID).
-			Str("upstream", hb.ID).Str("route", req.meta.Route).Dur("took", took).Err(err).Msg("exchange with upstream failed")
+		g.recordUpstreamFailure(req, hb, took, err)
 	}
 	return result{err: err, meta: hop.ResponseMeta{Load: g.admission.Load(), ExchangeFailed: true, Epoch: g.epoch}}
 }
+
+// recordUpstreamFailure counts a failed exchange against the upstream.
+func (g *Gateway) recordUpstreamFailure(req *upstreamRequest, hb *Heartbeat, took time.Duration, err error) {
+	g.admission.RecordResult(0, 0, true)
+	g.upstream.requestProbe()
+	g.stats.count("upstream_failed")
+	g.log.Warn().Str("request", g.cfg.Headers.RequestID(req.header)).Str("exchange", req.meta.ExchangeID).
+		Str("upstream", hb.ID).Str("route", req.meta.Route).Dur("took", took).Err(err).Msg("exchange with upstream failed")
+}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -58,6 +58,9 @@
 	// maxBufferedResponse is the size up to which a response is read completely
 	// before it is relayed, so that a truncated one can be replaced by a retry.
 	maxBufferedResponse = 64 << 10
+	// maxUndelimitedResponse limits a response body without a stated length. Callers may
+	// stream bodies of at least 64 MiB.
+	maxUndelimitedResponse = 64 << 20
 )
 
 // RequestInfo is the information about a request that its upstream receives.
@@ -204,9 +207,10 @@
 	})
 	g.upstreamPool = exchange.NewPool(exchange.Config{
 		DialTimeout: dialTimeout, MaxIdlePerAddr: upstreamMaxIdleConns, IdleTimeout: upstreamIdleTimeout, BufferBytes: maxBufferedResponse,
-		OnConnect: func() { g.stats.count("upstream_connections") },
+		MaxUndelimitedBytes: maxUndelimitedResponse,
+		OnConnect:           func() { g.stats.count("upstream_connections") },
 	})
-	g.peerPool = exchange.NewPool(exchange.Config{DialTimeout: dialTimeout, MaxIdlePerAddr: peerMaxIdleConns, IdleTimeout: peerIdleTimeout, BufferBytes: maxBufferedResponse})
+	g.peerPool = exchange.NewPool(exchange.Config{DialTimeout: dialTimeout, MaxIdlePerAddr: peerMaxIdleConns, IdleTimeout: peerIdleTimeout, BufferBytes: maxBufferedResponse, MaxUndelimitedBytes: maxUndelimitedResponse})
 	g.feed = feed.NewClient(feed.ClientConfig{
 		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout}), Seeds: cfg.Seeds,
 		Directory: g.directory, OnState: g.applyState, NodeName: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -108,7 +108,7 @@
 	retriesSpent     int // attempts taken from the retry budget
 	retryAfter       time.Duration
 	rejectReason     string
-	lastFailure      *result // the last failed attempt; decides the response when no other attempt succeeds
+	lastFailure      *attempt // the last failed attempt; decides the response when no other attempt succeeds
 	hedged           bool
 }
 
@@ -181,9 +181,11 @@
 			break
 		}
 	}
-	a.cancel()
-	s.recordAttempt(a, now)
 	res := &a.res
+	if res.resp == nil || res.resp.Rest == nil {
+		a.cancel() // a response that is still being received ends with its context
+	}
+	s.recordAttempt(a, now)
 	switch {
 	case res.meta.RejectReason != "":
 		s.rejectReason, s.retryAfter = res.meta.RejectReason, earliestRetryAfter(s.retryAfter, res.meta.RetryAfter)
@@ -202,8 +204,8 @@
 		return true
 	}
 	// The attempt failed, or the upstream reported that it did not run the request.
-	s.lastFailure.close()
-	s.lastFailure = res
+	s.lastFailure.discard()
+	s.lastFailure = a
 	s.excluded[a.node.Name] = true
 	if len(s.running) > 0 {
 		return false
@@ -215,10 +217,11 @@
 	return s.respondFailure()
 }
 
-// close discards the response, if there is one. r may be nil.
-func (r *result) close() {
-	if r != nil {
-		r.resp.Close()
+// discard ends the attempt and closes its response, if there is one. a may be nil.
+func (a *attempt) discard() {
+	if a != nil {
+		a.res.resp.Close()
+		a.cancel()
 	}
 }
 
@@ -249,8 +252,8 @@
 func (s *requestState) respondFailure() bool {
 	g, req := s.req.g, s.req
 	switch f := s.lastFailure; {
-	case f != nil && f.resp != nil:
-		s.relayResponse(&attempt{res: *f})
+	case f != nil && f.res.resp != nil:
+		s.relayResponse(f)
 	case f != nil:
 		g.writeError(s.w, req.httpReq, req, http.StatusBadGateway, mulberrylink.Unknown, mulberrylink.ReasonLost.String(), 0)
 	default:
@@ -276,7 +279,7 @@
 	took := time.Since(req.start)
 	req.g.stats.observeLatency("answered_us."+req.route.Kind.String(), took)
 	resp := a.res.resp
-	defer resp.Close()
+	defer a.discard()
 	if resp.Status >= http.StatusBadRequest {
 		req.g.log.Info().Str("request", req.id).Str("route", req.route.Name).Int("status", resp.Status).Str("node", a.node.Name).
 			Dur("took", took).Bool("notrun", a.res.meta.NotRun).Int("placed", s.placements).Msg("error response of the upstream relayed")
@@ -288,9 +291,16 @@
 			Int("placed", s.placements).Bool("hedge", a.hedge).Msg("answered")
 	}
 	if a.res.meta.ServiceTime > 0 {
-		req.g.transferSizes.Observe(req.route.Name, time.Duration(float64(len(resp.Body))/1024*float64(time.Second)))
+		size := max(resp.Length, int64(len(resp.Body)))
+		req.g.transferSizes.Observe(req.route.Name, time.Duration(float64(size)/1024*float64(time.Second)))
+	}
+	if err := copyResponse(s.w, resp, ""); err != nil {
+		if s.ctx.Err() == nil {
+			req.g.balancer.RecordResult(a.node.Name, true, time.Now())
+		}
+		req.g.log.Warn().Str("request", req.id).Str("route", req.route.Name).Str("node", a.node.Name).Err(err).Msg("response cut off; closing the connection to the caller")
+		panic(http.ErrAbortHandler)
 	}
-	copyResponse(s.w, resp, "")
 }
 
 // recordAttempt updates what is known about the upstream of an attempt and its node.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -339,3 +340,21 @@
 	}
 	is.Equal(good.upstream.runsOf("w0"), 1)
 }
+
+// Guards against a large response that is cut off while it is relayed, from the upstream beside the
+// entry node and from another one.
+func TestLargeResponses(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	entry, other := d.addNode("n1", "d1", "desk", 4), d.addNode("n2", "d2", "archive", 4)
+	d.waitReady(entry, other)
+	large := strings.Repeat("0123456789abcdef", 4<<16)
+	other.upstream.setHandler(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) })
+	for _, n := range []*node{entry, other} {
+		resp := n.send("GET", "/read/1", "large", "")
+		is.NoErr(resp.err)
+		is.Equal(len(resp.body), len(large))
+		is.Equal(resp.body, large)
+	}
+	waitFor(t, time.Second, "free slots", func() bool { return other.g.Load().Running == 0 })
+}
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -113,12 +113,14 @@
 		w.WriteHeader(status)
 		return
 	}
-	copyResponse(w, res.resp, res.meta.Encode())
+	if err := copyResponse(w, res.resp, res.meta.Encode()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
-// copyResponse writes a response as the upstream sent it. When the response is truncated,
-// the connection is closed so that the receiver notices.
-func copyResponse(w http.ResponseWriter, resp *exchange.Response, hopHeader string) {
+// copyResponse writes a response as the upstream sent it. It returns an error when the response
+// is cut off; the caller must then close the connection, so that the receiver notices.
+func copyResponse(w http.ResponseWriter, resp *exchange.Response, hopHeader string) error {
 	h := w.Header()
 	for name, values := range ingress.EndToEndHeaders(resp.Header) {
 		h[name] = values
@@ -138,14 +140,13 @@
 	}
 	w.WriteHeader(resp.Status)
 	if _, err := w.Write(resp.Body); err != nil {
-		return // the receiver has disconnected
+		return nil // the receiver has disconnected
 	}
 	if resp.Rest == nil {
-		return
-	}
-	if _, err := io.Copy(flushWriter{w, http.NewResponseController(w)}, resp.Rest); err != nil {
-		panic(http.ErrAbortHandler)
+		return nil
 	}
+	_, err := io.Copy(flushWriter{w, http.NewResponseController(w)}, resp.Rest)
+	return err
 }
 
 // flushWriter flushes each part of a large response as it arrives.
@@ -182,7 +183,9 @@
 	case rec.mustNotRun:
 		g.respondToPeer(w, ptr(g.reject(reasonBarred, 0)))
 	case rec.resp != nil:
-		copyResponse(w, rec.resp, rec.hopHeader)
+		if err := copyResponse(w, rec.resp, rec.hopHeader); err != nil {
+			panic(http.ErrAbortHandler)
+		}
 	default:
 		h := w.Header()
 		h.Set(hop.Header, rec.hopHeader)
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -53,8 +53,8 @@
 	mu             sync.Mutex
 	instance       Heartbeat
 	earlier        Heartbeat // last heartbeat of an instance with an earlier start time
-	deregistered   bool // the instance has announced that it stops
-	down           bool // nothing listens at its address
+	deregistered   bool      // the instance has announced that it stops
+	down           bool      // nothing listens at its address
 	coldUntil      time.Time
 	loadReportedAt time.Time
 	slowdown       float64
--- a/transport/exchange/do.go
+++ b/transport/exchange/do.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -24,11 +25,21 @@
 	maxMismatched = 3
 	// maxMismatchedBytes bounds the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
-	// maxInterimResponses bounds the interim (1xx) responses of one exchange.
+	// maxInterimResponses and maxInterimBytes bound the interim (1xx) responses of one
+	// exchange. Another node sends four a second, of about 200 bytes each.
 	maxInterimResponses = 10_000
+	maxInterimBytes     = 1 << 20
+	// maxHeadBytes bounds the head of one response, and with it each of its lines. Parsed,
+	// a head of many short lines takes about 16 times its size.
+	maxHeadBytes = 64 << 10
 )
 
-var errMismatched = errors.New("the response belongs to another request")
+var (
+	errMismatched  = errors.New("the response belongs to another request")
+	errHeadTooLong = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
+	errInterim     = errors.New("too many interim responses")
+	errBodyTooLong = errors.New("the response body has no stated length and exceeds the limit")
+)
 
 // Do sends a request and reads its response. The error is a *StageError.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
@@ -164,20 +175,22 @@
 // interim responses and responses to other requests.
 func (t *roundTrip) readResponse() (*http.Response, error) {
 	httpReq := &http.Request{Method: t.req.Method}
+	interimBytes := int64(0)
 	for mismatched, interim := 0, 0; ; {
 		t.setInactivityDeadline()
 		if _, err := t.conn.br.Peek(1); err != nil {
 			return nil, err
 		}
 		t.responseBegun = true
-		resp, err := http.ReadResponse(t.conn.br, httpReq)
+		resp, headBytes, err := t.readHead(httpReq) //nolint:bodyclose // readBody releases the connection or passes the body on
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			t.responseBegun = false
-			if interim++; interim > maxInterimResponses {
-				return nil, errors.New("too many interim responses")
+			interimBytes += headBytes
+			if interim++; interim > maxInterimResponses || interimBytes > maxInterimBytes {
+				return nil, errInterim
 			}
 			if resp.StatusCode == http.StatusContinue {
 				t.startBody()
@@ -200,6 +213,43 @@
 	}
 }
 
+// readHead reads the head of one response and returns its size. The connection's reader
+// hands out at most maxHeadBytes meanwhile: an upstream may send a head without end.
+func (t *roundTrip) readHead(req *http.Request) (resp *http.Response, size int64, err error) {
+	c := t.conn
+	before := int64(c.br.Buffered())
+	c.input.N = maxHeadBytes
+	resp, err = http.ReadResponse(c.br, req)
+	consumed := maxHeadBytes - c.input.N
+	exceeded := c.input.N <= 0
+	c.input.N = math.MaxInt64
+	switch {
+	case err != nil && exceeded:
+		return nil, 0, errHeadTooLong
+	case err != nil:
+		return nil, 0, err
+	}
+	if resp.ContentLength < 0 && t.pool.cfg.MaxUndelimitedBytes > 0 {
+		resp.Body = &boundedBody{ReadCloser: resp.Body, remaining: t.pool.cfg.MaxUndelimitedBytes}
+	}
+	return resp, before + consumed - int64(c.br.Buffered()), nil
+}
+
+// boundedBody fails after remaining bytes, so that a body without a stated length ends.
+type boundedBody struct {
+	io.ReadCloser
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.remaining -= int64(n); b.remaining < 0 {
+		return 0, errBodyTooLong
+	}
+	return n, err
+}
+
 // setInactivityDeadline bounds the wait for the next bytes of the upstream.
 func (t *roundTrip) setInactivityDeadline() {
 	if t.req.InactivityTimeout <= 0 {
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -33,13 +35,17 @@
 type Config struct {
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
-	// MaxIdlePerAddr is the number of idle connections kept per address.
+	// MaxIdlePerAddr is the number of idle connections kept per address. With 0, every
+	// connection is closed after its exchange.
 	MaxIdlePerAddr int
 	// IdleTimeout bounds how long an idle connection is kept.
 	IdleTimeout time.Duration
 	// BufferBytes is the number of bytes of a response body that Do reads into
 	// memory before it returns.
 	BufferBytes int
+	// MaxUndelimitedBytes limits a response body whose head doesn't state its length.
+	// A longer one counts as cut off. Zero sets no limit.
+	MaxUndelimitedBytes int64
 	// OnConnect is called for each new connection. It may be nil.
 	OnConnect func()
 }
@@ -56,6 +62,7 @@
 	net.Conn
 	addr          string
 	raw           syscall.RawConn
+	input         io.LimitedReader // its limit applies to response heads only
 	br            *bufio.Reader
 	bw            *bufio.Writer
 	idleSince     time.Time
@@ -113,6 +120,10 @@
 		_ = list[0].Close()
 		list = list[1:]
 	}
+	if p.cfg.MaxIdlePerAddr <= 0 {
+		_ = c.Close()
+		return
+	}
 	if len(list) >= p.cfg.MaxIdlePerAddr {
 		_ = list[0].Close()
 		list = list[1:]
@@ -150,7 +161,8 @@
 	if p.cfg.OnConnect != nil {
 		p.cfg.OnConnect()
 	}
-	c := &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, readBufferBytes), bw: bufio.NewWriterSize(nc, writeBufferBytes)}
+	c := &conn{Conn: nc, addr: addr, input: io.LimitedReader{R: nc, N: math.MaxInt64}, bw: bufio.NewWriterSize(nc, writeBufferBytes)}
+	c.br = bufio.NewReaderSize(&c.input, readBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn() // on an error it stays nil and the connection isn't checked
 	}
--- a/transport/ingress/conn.go
+++ b/transport/ingress/conn.go
@@ -20,7 +20,7 @@
 type conn struct {
 	server *Server
 	nc     net.Conn
-	input  limitedReader
+	input  io.LimitedReader // its limit applies to headers only
 	br     *bufio.Reader
 	bw     *bufio.Writer // used by the response that is next in order
 	cancel context.CancelFunc
@@ -35,7 +35,7 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, nc: nc, cancel: func() {}, slots: make(chan struct{}, maxPipelined)}
-	c.input.r = nc
+	c.input.R = nc
 	c.br, c.bw = bufio.NewReader(&c.input), bufio.NewWriter(nc)
 	return c
 }
@@ -98,7 +98,7 @@
 // read. It then closes the write side and keeps reading for up to lingerTimeout. If the
 // caller disconnects before the last response, it cancels the requests.
 func (c *conn) awaitClose(lastDone <-chan struct{}, cancel context.CancelFunc) {
-	c.input.remaining = math.MaxInt64
+	c.input.N = math.MaxInt64
 	_ = c.nc.SetReadDeadline(time.Time{}) // the next read reports a failure
 	callerDisconnected := make(chan struct{})
 	go func() {
@@ -133,7 +133,7 @@
 // readRequest reads the next request. With an error, status is the status of the response
 // to an invalid request, or 0 when the connection has failed or was closed.
 func (c *conn) readRequest() (r *http.Request, status int, err error) {
-	c.input.remaining = math.MaxInt64
+	c.input.N = math.MaxInt64
 	c.mu.Lock()
 	c.reading = false
 	c.updateReadDeadline()
@@ -145,17 +145,17 @@
 	c.reading = true
 	c.mu.Unlock()
 	_ = c.nc.SetReadDeadline(time.Now().Add(headerReadTimeout)) // the next read reports a failure
-	c.input.remaining = maxHeaderBytes
+	c.input.N = maxHeaderBytes
 	r, err = http.ReadRequest(c.br)
 	switch {
-	case err != nil && c.input.remaining <= 0:
+	case err != nil && c.input.N <= 0:
 		return nil, http.StatusRequestHeaderFieldsTooLarge, errors.Newf("request header exceeds %d bytes", maxHeaderBytes)
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetworkError(err):
 		return nil, 0, err
 	case err != nil:
 		return nil, http.StatusBadRequest, err
 	}
-	c.input.remaining = math.MaxInt64
+	c.input.N = math.MaxInt64
 	_ = c.nc.SetReadDeadline(time.Time{})
 	if status, err := validateRequest(r); err != nil {
 		return nil, status, err
@@ -286,22 +286,3 @@
 	_, _ = c.bw.WriteString("Connection: close\r\nContent-Length: 0\r\n\r\n")
 	_ = c.bw.Flush() // the caller may have disconnected
 }
-
-// limitedReader returns io.EOF after remaining bytes.
-type limitedReader struct {
-	r         io.Reader
-	remaining int64
-}
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, io.EOF
-	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.r.Read(p)
-	l.remaining -= int64(n)
-	return n, err
-}
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -38,9 +38,9 @@
 )
 
 const (
-	// maxHeaderBytes limits the header of a request. The configuration may set a lower
-	// limit.
-	maxHeaderBytes    = 256 << 10
+	// maxHeaderBytes limits the header of a request. Parsed, a header of many short lines
+	// takes about 16 times its size, and a node has less than 200 MB for all connections.
+	maxHeaderBytes    = 64 << 10
 	headerReadTimeout = 10 * time.Second
 	// idleTimeout is longer than the idle timeout in the configuration, because
 	// callers reuse a connection for most of that time.
--- a/transport/ingress/response.go
+++ b/transport/ingress/response.go
@@ -160,6 +160,12 @@
 	return w.writeErr
 }
 
+// SetReadDeadline bounds the reading of the request body. It is called by
+// http.ResponseController.
+func (w *response) SetReadDeadline(deadline time.Time) error {
+	return w.c.nc.SetReadDeadline(deadline)
+}
+
 // extendWriteDeadline sets the write deadline anew before each write, because an upstream may
 // pause within its response.
 func (w *response) extendWriteDeadline() {
