Keep an exchange whose node is silent

Cause: the entry node closed the connection to another node that had sent nothing for 0.7 s. A request that runs at most once lost its connection before its outcome was asked for.

The exchange now goes on until the deadline. An idempotent request is sent to a second upstream as well if the retry budget allows it; for another one the node is asked for the outcome over a new connection meanwhile. A retry token is taken only when an attempt starts, and a hedge that does not start excludes no node.

TestResponseOfASilentNodeIsDelivered failed before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/mulberrylink/mulberrylink"
@@ -62,10 +63,22 @@
 	return all, nodes
 }
 
+// attemptKind is why an attempt is started.
+type attemptKind uint8
+
+const (
+	// firstAttempt is the first one, or follows one that did not run the request.
+	firstAttempt attemptKind = iota
+	// retryAttempt follows one that failed or is overdue. It takes from the retry budget.
+	retryAttempt
+	// hedgeAttempt runs beside one that is late. It takes from the retry budget, and starts
+	// only when its expected cost is at most maxHedgeCost.
+	hedgeAttempt
+)
+
 // startAttempt starts an attempt on the upstream with the lowest cost. It returns false
-// when no attempt is possible or its cost is above maxCost, which is set only for hedged
-// requests.
-func (s *requestState) startAttempt(maxCost *float64) bool {
+// when no attempt is possible.
+func (s *requestState) startAttempt(kind attemptKind) bool {
 	g, req := s.req.g, s.req
 	now := time.Now()
 	if s.placements >= maxPlacements || s.placements > 0 && !req.replayable() {
@@ -76,11 +89,11 @@
 		ServiceTime: req.serviceTime, Objective: req.objective, Deadline: req.deadline, Exclude: s.excluded, SizeKiB: req.sizeKiB(), Value: req.value(),
 		Reroutable: s.slowerRejections < maxSlowerRejections,
 	}, all)
-	if !ok || maxCost != nil && choice.Cost > *maxCost {
+	if !ok || kind == hedgeAttempt && choice.Cost > maxHedgeCost || kind != firstAttempt && !s.takeRetry() {
 		return false
 	}
 	s.placements++
-	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, start: now, hedge: maxCost != nil}
+	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, start: now, hedge: kind == hedgeAttempt}
 	ctx, cancel := context.WithCancel(s.ctx)
 	a.cancel = cancel
 	s.running = append(s.running, a)
@@ -129,20 +142,34 @@
 	if req.route.Kind != routes.Safe || s.hedged || len(s.running) != 1 || s.attempts >= req.route.MaxAttempts {
 		return
 	}
-	first := s.running[0]
-	s.excluded[first.node.Name] = true
-	maxCost := maxHedgeCost
-	all, _ := s.candidates()
-	if len(all) < 2 {
+	first := s.running[0].node.Name
+	wasExcluded := s.excluded[first]
+	s.excluded[first] = true
+	if s.hedged = s.startAttempt(hedgeAttempt); s.hedged {
+		req.g.stats.count("hedged")
 		return
 	}
-	if !s.takeRetry() {
+	s.excluded[first] = wasExcluded
+}
+
+// handleSilence handles an attempt whose node has sent nothing, not even an interim response,
+// for peerInactivityTimeout. The node may be slow or cut off. The attempt goes on, because its
+// upstream may be at work; an idempotent request is sent to another one as well if the retry
+// budget allows it.
+func (s *requestState) handleSilence(a *attempt) {
+	g, req := s.req.g, s.req
+	if !slices.Contains(s.running, a) {
 		return
 	}
-	if s.startAttempt(&maxCost) {
-		s.hedged = true
-		req.g.stats.count("hedged")
+	g.stats.count("peer_silent")
+	g.balancer.RecordResult(a.node.Name, true, time.Now())
+	s.excluded[a.node.Name] = true
+	retried := req.route.Kind == routes.Safe && len(s.running) == 1 && s.startAttempt(retryAttempt)
+	if retried {
+		g.stats.count("retried")
 	}
+	g.log.Warn().Str("request", req.id).Str("route", req.route.Name).Str("node", a.node.Name).
+		Dur("took", time.Since(a.start)).Bool("retried", retried).Msg("node silent; its attempt goes on")
 }
 
 // runLocal runs an attempt on the upstream beside this node.
@@ -171,23 +198,55 @@
 	if req.length < 0 || req.length > expectContinueThreshold {
 		call.ExpectContinue, call.InactivityTimeout = true, 0
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	resolved := make(chan result, 1)
+	call.OnInactivity = func() {
+		g.peerPool.CloseIdle(a.node.Addr)
+		s.silent <- a
+		if meta.Kind == routes.Safe {
+			return
+		}
+		go func() {
+			if res, ok := g.resolveExchange(ctx, a, meta.ExchangeID); ok {
+				resolved <- res
+				cancel() // ends the exchange on the silent connection
+			}
+		}()
+	}
 	resp, err := g.peerPool.Do(ctx, call)
 	if err == nil {
 		a.res = g.parsePeerResponse(resp)
+		endWithResponse(&a.res, cancel)
 		return
 	}
+	defer cancel()
+	select {
+	case a.res = <-resolved:
+		return
+	default:
+	}
+	a.res = result{err: err}
 	var stageErr *exchange.StageError
 	switch {
 	case errors.As(err, &stageErr) && stageErr.Stage == exchange.NotSent:
-		a.res = result{meta: hop.ResponseMeta{RejectReason: reasonNodeUnreachable}, err: err}
-	case ctx.Err() != nil || meta.Kind == routes.Safe:
-		g.peerPool.CloseIdle(a.node.Addr)
-		a.res = result{err: err}
-	default:
-		g.peerPool.CloseIdle(a.node.Addr)
+		a.res.meta.RejectReason = reasonNodeUnreachable
+		return
+	case ctx.Err() == nil && meta.Kind != routes.Safe:
 		g.log.Warn().Str("request", req.id).Str("exchange", meta.ExchangeID).Str("node", a.node.Name).Err(err).Msg("connection to the node lost; asking for the outcome")
-		a.res = g.resolveLostExchange(ctx, a, meta.ExchangeID, err)
+		if res, ok := g.resolveExchange(ctx, a, meta.ExchangeID); ok {
+			a.res = res
+		}
+	}
+	g.peerPool.CloseIdle(a.node.Addr)
+}
+
+// endWithResponse calls cancel when the response of a result has been received.
+func endWithResponse(res *result, cancel context.CancelFunc) {
+	if res.resp == nil || res.resp.Rest == nil {
+		cancel()
+		return
 	}
+	res.resp.Rest = &trackedBody{ReadCloser: res.resp.Rest, onError: func(error) {}, onClose: cancel}
 }
 
 // parsePeerResponse converts the response of another node to a result.
@@ -209,10 +268,11 @@
 
 var errPeerExchangeFailed = errors.New("the exchange with the upstream failed at its node")
 
-// resolveLostExchange asks the node for the outcome of an exchange whose connection was
-// lost. Only the process that received the request knows the outcome, so a response of a
-// restarted process, which has another epoch, is ignored.
-func (g *Gateway) resolveLostExchange(ctx context.Context, a *attempt, exchangeID string, cause error) result {
+// resolveExchange asks a node over a new connection for the outcome of an exchange that it
+// doesn't report on the first one. It returns false without an outcome. Only the process that
+// received the request knows it, so a response of a restarted process, which has another
+// epoch, is ignored.
+func (g *Gateway) resolveExchange(ctx context.Context, a *attempt, exchangeID string) (result, bool) {
 	knownEpoch := g.peerEpochs.get(a.node.Name)
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
@@ -223,12 +283,12 @@
 	})
 	g.log.Info().Str("exchange", exchangeID).Str("node", a.node.Name).Bool("answered", err == nil).Str("epoch", knownEpoch).Msg("outcome of a lost exchange asked")
 	if err != nil {
-		return result{err: cause}
+		return result{}, false
 	}
 	res := g.parsePeerResponse(resp)
 	if knownEpoch == "" || res.meta.Epoch != knownEpoch {
 		res.resp.Close()
-		return result{err: cause}
+		return result{}, false
 	}
-	return res
+	return res, true
 }
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -100,6 +100,7 @@
 	w                http.ResponseWriter
 	ctx              context.Context
 	done             chan *attempt
+	silent           chan *attempt // attempts whose node sends nothing
 	running          []*attempt
 	excluded         map[string]bool
 	placements       int
@@ -117,14 +118,14 @@
 	ctx, cancel := context.WithDeadline(q.httpReq.Context(), q.deadline)
 	defer cancel()
 	s := &requestState{
-		req: q, w: w, ctx: ctx, done: make(chan *attempt, maxPlacements+1), excluded: make(map[string]bool),
+		req: q, w: w, ctx: ctx, done: make(chan *attempt, maxPlacements+1), silent: make(chan *attempt, maxPlacements+1), excluded: make(map[string]bool),
 	}
 	q.g.retryBudgets.RecordRequest(q.budgetRequest)
 	if q.g.upstream.current().Service == q.service {
 		q.g.upstream.refreshLoad(ctx) // placement compares the other upstreams with this one
 	}
 	defer s.cancelAll()
-	if !s.startAttempt(nil) {
+	if !s.startAttempt(firstAttempt) {
 		s.respondFailure()
 		return
 	}
@@ -136,6 +137,8 @@
 			if s.finishAttempt(a) {
 				return
 			}
+		case a := <-s.silent:
+			s.handleSilence(a)
 		case <-hedgeTimer.C:
 			s.startHedge()
 			if !s.hedged && time.Now().Before(q.objective) {
@@ -195,7 +198,7 @@
 		} else {
 			s.excluded[a.node.Name] = true
 		}
-		if len(s.running) > 0 || s.startAttempt(nil) {
+		if len(s.running) > 0 || s.startAttempt(firstAttempt) {
 			return false
 		}
 		return s.respondFailure()
@@ -210,7 +213,7 @@
 	if len(s.running) > 0 {
 		return false
 	}
-	if (res.meta.NotRun || s.req.route.Kind == routes.Safe) && s.takeRetry() && s.startAttempt(nil) {
+	if (res.meta.NotRun || s.req.route.Kind == routes.Safe) && s.startAttempt(retryAttempt) {
 		g.stats.count("retried")
 		return false
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -358,3 +358,27 @@
 	}
 	waitFor(t, time.Second, "free slots", func() bool { return other.g.Load().Running == 0 })
 }
+
+// Guards against giving up a request at which an upstream is at work: the node beside it sent
+// nothing for a while, because it was short of processor time, and no retry was possible. The
+// response must be delivered although it comes later than the silence is tolerated.
+func TestResponseOfASilentNodeIsDelivered(t *testing.T) {
+	for _, path := range []string{"/read/1", "/write/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t)
+			relay := newRelay(t)
+			entry := d.addNode("n1", "d1", "desk", 4)
+			other := d.addNodeBehindRelay(relay, "n2", "d2", "archive", 4)
+			d.waitReady(entry)
+			other.upstream.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+				relay.pause(1200 * time.Millisecond)
+				_, _ = io.WriteString(w, "done")
+			})
+			resp := entry.send(http.MethodPost, path, "slow", "")
+			is.Equal(resp.status, http.StatusOK)
+			is.Equal(resp.body, "done")
+			is.Equal(other.upstream.runsOf("slow"), 1)
+		})
+	}
+}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 )
 
 // relay is a TCP proxy to one target. After a call of blackhole it drops all bytes of the
@@ -13,6 +14,7 @@
 	mu     sync.Mutex
 	target string
 	drops  []chan struct{} // one for each open connection, closed by blackhole
+	gate   sync.RWMutex    // held by pause; connections forward nothing meanwhile
 }
 
 func newRelay(t *testing.T) *relay {
@@ -58,6 +60,8 @@
 				return // forwards neither the bytes nor the end of the connection
 			default:
 			}
+			r.gate.RLock()
+			r.gate.RUnlock() //nolint:staticcheck // waits for the end of a pause
 			if n > 0 {
 				if _, err := to.Write(buf[:n]); err != nil {
 					return
@@ -93,3 +97,9 @@
 	}
 	r.drops = nil
 }
+
+// pause holds all bytes back for d, as a node that is short of processor time does.
+func (r *relay) pause(d time.Duration) {
+	r.gate.Lock()
+	time.AfterFunc(d, r.gate.Unlock)
+}
--- a/transport/exchange/do.go
+++ b/transport/exchange/do.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -177,8 +178,7 @@
 	httpReq := &http.Request{Method: t.req.Method}
 	interimBytes := int64(0)
 	for mismatched, interim := 0, 0; ; {
-		t.setInactivityDeadline()
-		if _, err := t.conn.br.Peek(1); err != nil {
+		if err := t.awaitBytes(); err != nil {
 			return nil, err
 		}
 		t.responseBegun = true
@@ -213,6 +213,22 @@
 	}
 }
 
+// awaitBytes waits for the next bytes of the upstream.
+func (t *roundTrip) awaitBytes() error {
+	t.setInactivityDeadline()
+	_, err := t.conn.br.Peek(1)
+	if t.req.OnInactivity == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(t.req.Deadline) {
+		return err
+	}
+	t.req.OnInactivity()
+	t.req.InactivityTimeout = 0
+	if err := t.conn.SetReadDeadline(t.req.Deadline); err != nil {
+		return err
+	}
+	_, err = t.conn.br.Peek(1)
+	return err
+}
+
 // readHead reads the head of one response and returns its size. The connection's reader
 // hands out at most maxHeadBytes meanwhile: an upstream may send a head without end.
 func (t *roundTrip) readHead(req *http.Request) (resp *http.Response, size int64, err error) {
--- a/transport/exchange/doc.go
+++ b/transport/exchange/doc.go
@@ -76,8 +76,11 @@
 	Deadline time.Time
 	// InactivityTimeout ends the exchange when nothing, not even an interim (1xx)
 	// response, has arrived for that long before the final response begins. Zero
-	// waits until the deadline.
+	// waits until the deadline. With OnInactivity, the exchange doesn't end then:
+	// OnInactivity is called once, must return at once, and the exchange waits until
+	// the deadline.
 	InactivityTimeout time.Duration
+	OnInactivity      func()
 	// MaxIdleTime limits how long a reused connection may have been idle. Zero
 	// selects the limit of the pool.
 	MaxIdleTime time.Duration
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -79,6 +79,12 @@
 				u.t.Errorf("%s: %v", line, err)
 			}
 			_, _ = c.Write([]byte(text))
+		case "flood": // the text again and again, until the client closes the connection
+			text, err := strconv.Unquote(arg)
+			if err != nil {
+				u.t.Errorf("%s: %v", line, err)
+			}
+			repeat(c, text, 0)
 		case "wait":
 			d, err := time.ParseDuration(arg)
 			if err != nil {
@@ -94,6 +100,20 @@
 	}
 }
 
+// repeat writes a text until the other side closes the connection, with a pause after each one.
+func repeat(c net.Conn, text string, pause time.Duration) {
+	block := []byte(text)
+	if pause == 0 {
+		block = []byte(strings.Repeat(text, 4096/len(text)+1))
+	}
+	for {
+		if _, err := c.Write(block); err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
 func runScript(t *testing.T, text string) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -115,7 +135,7 @@
 		}
 	}
 	go u.serve()
-	p := exchange.NewPool(exchange.Config{DialTimeout: time.Second, MaxIdlePerAddr: 4, IdleTimeout: time.Minute, BufferBytes: 64})
+	p := exchange.NewPool(exchange.Config{DialTimeout: time.Second, MaxIdlePerAddr: 4, IdleTimeout: time.Minute, BufferBytes: 64, MaxUndelimitedBytes: 1 << 20})
 	for _, line := range requests {
 		doRequest(t, p, lis.Addr().String(), line)
 	}
