Bound bodies of callers, and give the simulated upstream endless responses

A body whose length its caller does not state is bounded by max_body_bytes of the configuration, and reading any body by the deadline of its request: a body without end held its connection and its buffer for ever. A response of cmd/mulberrynode's upstream has a head of 64 KiB at most (1 MiB before) and, without a stated length, a body of 64 MiB. mulberrybench upstream sends a line, header lines, interim responses, a body or chunks without end on request.

--- a/cmd/mulberrybench/commands.go
+++ b/cmd/mulberrybench/commands.go
@@ -1,9 +1,9 @@
 package main
 
 import (
-	"math/rand/v2"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"time"
--- a/cmd/mulberrybench/upstream/doc.go
+++ b/cmd/mulberrybench/upstream/doc.go
@@ -27,6 +27,9 @@
   Upstream-Status: N            status of the response
   Upstream-Stall: 2s            extra delay before the response
   Upstream-Cut: N               cut the connection after N bytes of the response
+  Upstream-Endless: PART        send PART without end until the connection closes: line (one
+                                header line), head (header lines), interim (1xx responses),
+                                body (no length) or chunks
   Upstream-Crash: true          exit without a response once the execution has started
   Upstream-Call: [SERVICE]/PATH make a nested GET through the own node first
   Upstream-Token: WORD          echoed; the response body repeats it
--- a/cmd/mulberrybench/upstream/request.go
+++ b/cmd/mulberrybench/upstream/request.go
@@ -24,6 +24,7 @@
 	HeaderStall       = "Upstream-Stall"
 	HeaderCut         = "Upstream-Cut"
 	HeaderCrash       = "Upstream-Crash"
+	HeaderEndless     = "Upstream-Endless"
 	HeaderCall        = "Upstream-Call"
 	HeaderToken       = "Upstream-Token"
 	// HeaderShed marks the response to a request that was not run.
@@ -55,6 +56,7 @@
 	cutAfter    int // -1 sends the whole body
 	status      int
 	crash       bool
+	endless     endlessPart
 	timeout     time.Duration // 0 for none
 }
 
@@ -70,6 +72,12 @@
 		intHeader(h, headerTimeout, &timeoutMillis, 1<<40),
 	)
 	b.crash = h.Get(HeaderCrash) == "true"
+	if name := h.Get(HeaderEndless); name != "" {
+		var ok bool
+		if b.endless, ok = endlessParts[name]; !ok {
+			err = errors.Join(err, errors.Newf("header %s: unknown part %q", HeaderEndless, name))
+		}
+	}
 	b.timeout = time.Duration(timeoutMillis) * time.Millisecond
 	return b, err
 }
@@ -165,6 +173,10 @@
 		return
 	}
 	s.cold.recordCompletion()
+	if b.endless.repeated != "" {
+		s.respondEndlessly(ctx, w, b.endless)
+		return
+	}
 	s.respond(w, r, b, body)
 }
 
--- a/cmd/mulberrybench/upstream/upstream_test.go
+++ b/cmd/mulberrybench/upstream/upstream_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -152,3 +154,22 @@
 	_, b := s.store.get("/patterns/b")
 	is.True(a != b) // the capacity of 10 bytes holds one of them
 }
+
+// Guards against an endless response that ends by itself, or that goes on after the client has
+// closed the connection and keeps a slot.
+func TestEndlessResponse(t *testing.T) {
+	is := is.New(t)
+	s, srv := startUpstream(t, "[cold]\nfor = 0s\n")
+	for part := range endlessParts {
+		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+		is.NoErr(err)
+		_, err = fmt.Fprintf(conn, "GET /grades HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 1ms\r\n\r\n", HeaderEndless, part, HeaderServiceTime)
+		is.NoErr(err)
+		_, err = io.CopyN(io.Discard, conn, 1<<20)
+		is.NoErr(err)
+		is.NoErr(conn.Close())
+		waitFor(t, "the slot is free", func() bool { n, _, _ := s.slots.counts(); return n == 0 })
+	}
+	code, _ := get(t, srv.URL+"/grades", HeaderEndless, "other")
+	is.Equal(code, http.StatusBadRequest)
+}
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -72,8 +74,15 @@
 		return
 	}
 	req := g.newRequest(active, route, r, now)
-	if err := req.readBody(); err != nil {
-		if r.Context().Err() == nil {
+	if err := g.receiveBody(w, req); err != nil {
+		var tooLarge *http.MaxBytesError
+		switch {
+		case r.Context().Err() != nil: // nobody reads a response
+		case errors.As(err, &tooLarge):
+			g.writeError(w, r, req, http.StatusRequestEntityTooLarge, mulberrylink.NotRun, mulberrylink.ReasonTooLarge.String(), 0)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			g.writeError(w, r, req, http.StatusRequestTimeout, mulberrylink.NotRun, mulberrylink.ReasonDeadline.String(), 0)
+		default:
 			g.writeError(w, r, req, http.StatusBadRequest, mulberrylink.NotRun, mulberrylink.ReasonBadRequest.String(), 0)
 		}
 		return
@@ -82,6 +91,22 @@
 	req.serve(w)
 }
 
+// receiveBody buffers the body of a request within the limits of its size and its deadline. A
+// caller may send a body without end, or byte by byte.
+func (g *Gateway) receiveBody(w http.ResponseWriter, req *request) error {
+	r := req.httpReq
+	if r.ContentLength == 0 {
+		return nil
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(req.deadline); err != nil {
+		return err
+	}
+	if limit := req.active.table.Limits.MaxBodyBytes; limit > 0 {
+		r.Body = http.MaxBytesReader(nil, r.Body, limit)
+	}
+	return req.readBody()
+}
+
 // attempt is one attempt to run a request on an upstream.
 type attempt struct {
 	node   mulberrylink.Node
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -53,6 +53,9 @@
 	}
 	if r.ContentLength != 0 {
 		req.body = r.Body
+		if err := http.NewResponseController(w).SetReadDeadline(req.deadline.Add(responseSlack)); err != nil {
+			g.log.Warn().Str("peer", r.RemoteAddr).Err(err).Msg("body of a forwarded request has no read deadline")
+		}
 	}
 	stop := func() {}
 	if r.Header.Get("Expect") == "" {
--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -52,9 +52,13 @@
 	// idle connections earlier, a request that is sent on one of them at that moment
 	// ends with an unknown outcome.
 	idleTimeout = 20 * time.Second
-	// maxHeaderBytes bounds the header of a response.
-	maxHeaderBytes = 1 << 20
-	bufferBytes    = 32 << 10
+	// maxHeaderBytes bounds the header of a response, with its interim responses. Parsed,
+	// a header of many short lines takes about 16 times its size.
+	maxHeaderBytes = 64 << 10
+	// maxUndelimitedBytes bounds a response body without a stated length. Callers may
+	// stream bodies of at least 64 MiB.
+	maxUndelimitedBytes = 64 << 20
+	bufferBytes         = 32 << 10
 )
 
 // Target describes the upstream, as it announces itself.
--- a/transport/backend/do.go
+++ b/transport/backend/do.go
@@ -67,6 +67,9 @@
 	a := &mulberrylink.Answer{
 		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
 	}
+	if a.Length < 0 {
+		a.Body = http.MaxBytesReader(nil, a.Body, maxUndelimitedBytes) // the upstream may send without end
+	}
 	if r.Method == http.MethodHead {
 		a.Length = 0 // the Content-Length of a response to HEAD is that of a body that isn't sent
 	}
--- a/transport/exchange/do.go
+++ b/transport/exchange/do.go
@@ -39,7 +39,6 @@
 	errMismatched  = errors.New("the response belongs to another request")
 	errHeadTooLong = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
 	errInterim     = errors.New("too many interim responses")
-	errBodyTooLong = errors.New("the response body has no stated length and exceeds the limit")
 )
 
 // Do sends a request and reads its response. The error is a *StageError.
@@ -246,26 +245,11 @@
 		return nil, 0, err
 	}
 	if resp.ContentLength < 0 && t.pool.cfg.MaxUndelimitedBytes > 0 {
-		resp.Body = &boundedBody{ReadCloser: resp.Body, remaining: t.pool.cfg.MaxUndelimitedBytes}
+		resp.Body = http.MaxBytesReader(nil, resp.Body, t.pool.cfg.MaxUndelimitedBytes)
 	}
 	return resp, before + consumed - int64(c.br.Buffered()), nil
 }
 
-// boundedBody fails after remaining bytes, so that a body without a stated length ends.
-type boundedBody struct {
-	io.ReadCloser
-	remaining int64
-}
-
-// Read implements io.Reader.
-func (b *boundedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if b.remaining -= int64(n); b.remaining < 0 {
-		return 0, errBodyTooLong
-	}
-	return n, err
-}
-
 // setInactivityDeadline bounds the wait for the next bytes of the upstream.
 func (t *roundTrip) setInactivityDeadline() {
 	if t.req.InactivityTimeout <= 0 {
