Correct faults in state, recovery and refusals found by reading

- A confirmed read ended never when the disk failed before its index was applied; a store whose first hard state could not be written went on.
- Remaining times of other nodes and of reports overflowed a duration.
- A mulberrynode whose server stopped without an error exited with 0.
- Requests that leave the queue of an upstream get a time to come back, as those that are rejected on arrival do.

--- a/cmd/mulberrynode/front_test.go
+++ b/cmd/mulberrynode/front_test.go
@@ -115,64 +115,86 @@
 }
 
 // Guards against uploads and downloads of 64 MiB that are corrupted on the way through two nodes or
-// buffered in memory.
+// buffered in memory. The receiver stops reading early; what the sender can still send, and what is
+// alive on the heap while nothing moves, is held by the nodes and the sockets.
 func TestLargeBodiesPassBothWays(t *testing.T) {
-	const size = 64 << 20
+	const size, firstPart = 64 << 20, 1 << 20
 	is := is.New(t)
 	g := newFakeGroup()
 	entry := startNode(t, g, "a", "d1")
 	admitting := startNode(t, g, "b", "d1")
+	var uploaded, downloaded countingReader // the bytes taken from the senders
+	heldInUpload := make(chan held, 1)
+	base := liveHeap()
 	announceUpstream(t, admitting, func(w http.ResponseWriter, r *http.Request) {
 		sum := xxhash.New()
+		first, _ := io.CopyN(sum, r.Body, firstPart)
+		heldInUpload <- held{bytes: uploaded.awaitStall() - first, heap: liveHeap() - base}
 		n, err := io.Copy(sum, r.Body)
-		w.Header().Set("X-Got", fmt.Sprint(n, err, sum.Sum64()))
+		w.Header().Set("X-Got", fmt.Sprint(first+n, err, sum.Sum64()))
 		w.Header().Set("Content-Length", fmt.Sprint(size))
-		io.Copy(w, io.LimitReader(&positionReader{}, size))
+		downloaded.r = io.LimitReader(&positionReader{}, size)
+		io.Copy(w, &downloaded)
 	})
 	want := xxhash.New()
 	io.Copy(want, io.LimitReader(&positionReader{}, size))
-	req, err := http.NewRequest("PUT", "http://"+entry.front.Addr()+"/patterns", io.LimitReader(&positionReader{}, size))
+	uploaded.r = io.LimitReader(&positionReader{}, size)
+	req, err := http.NewRequest("PUT", "http://"+entry.front.Addr()+"/patterns", &uploaded)
 	is.NoErr(err)
 	req.Host = "archive"
 	req.ContentLength = size
-	heapGrowth := measureHeapGrowth()
 	resp, err := http.DefaultClient.Do(req)
 	is.NoErr(err)
 	defer resp.Body.Close()
 	is.Equal(resp.Header.Get("X-Got"), fmt.Sprint(size, nil, want.Sum64()))
 	got := xxhash.New()
+	first, err := io.CopyN(got, resp.Body, firstPart)
+	is.NoErr(err)
+	heldInDownload := held{bytes: downloaded.awaitStall() - first, heap: liveHeap() - base}
 	n, err := io.Copy(got, resp.Body)
 	is.NoErr(err)
-	is.Equal(n, int64(size))
+	is.Equal(first+n, int64(size))
 	is.Equal(got.Sum64(), want.Sum64())
-	is.True(heapGrowth() < size/2) // both nodes, the caller and the upstream run in this process
+	for _, h := range []held{<-heldInUpload, heldInDownload} {
+		t.Logf("held while the receiver stops: %d KiB, alive: %d KiB", h.bytes>>10, h.heap>>10)
+		is.True(h.bytes < size/2)
+		is.True(h.heap < size/2) // both nodes, the caller and the upstream run in this process
+	}
+}
+
+// held is what is on its way while the receiver of a body does not read.
+type held struct{ bytes, heap int64 }
+
+// countingReader counts the bytes read from r.
+type countingReader struct {
+	r io.Reader
+	n atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n.Add(int64(n))
+	return n, err
 }
 
-// measureHeapGrowth samples the heap size until the returned function is called, which returns the
-// maximum growth in bytes.
-func measureHeapGrowth() func() uint64 {
+// awaitStall waits until nothing has been read for 200 ms and returns the number of bytes read.
+func (c *countingReader) awaitStall() int64 {
+	for {
+		before := c.n.Load()
+		time.Sleep(200 * time.Millisecond)
+		if now := c.n.Load(); now == before {
+			return now
+		}
+	}
+}
+
+// liveHeap returns the bytes that are alive on the heap.
+func liveHeap() int64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	base, highest := m.HeapAlloc, m.HeapAlloc
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(5 * time.Millisecond):
-				runtime.ReadMemStats(&m)
-				highest = max(highest, m.HeapAlloc)
-			}
-		}
-	}()
-	return func() uint64 {
-		close(stop)
-		<-done
-		return highest - base
-	}
+	return int64(m.HeapAlloc)
 }
 
 // positionReader returns bytes that depend on their position, so that a lost or moved byte is detected.
--- a/cmd/mulberrynode/run.go
+++ b/cmd/mulberrynode/run.go
@@ -70,13 +70,22 @@
 	}
 	select {
 	case err := <-serveErr:
-		return errors.Wrap(err, "server stopped unexpectedly")
+		return unexpectedStop(err)
 	case s := <-signals:
 		n.log.Info().Str("signal", s.String()).Msg("node leaving")
 	}
 	return n.shutdown(ctx)
 }
 
+// unexpectedStop returns the error of the process when a server has stopped without a signal,
+// also if the server itself reported none.
+func unexpectedStop(err error) error {
+	if err == nil {
+		return errors.New("server stopped unexpectedly, without an error")
+	}
+	return errors.Wrap(err, "server stopped unexpectedly")
+}
+
 // shutdown rejects new requests and waits, without a time limit, until every request in flight has
 // ended and every recording of a response is done. Further signals have no effect.
 func (n *node) shutdown(ctx context.Context) error {
--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -61,7 +61,7 @@
 	defer c.mu.Unlock()
 	c.open = false
 	for _, w := range c.queue {
-		w.result <- Closed
+		w.result <- Rejection{Reason: Closed}
 	}
 	c.queue = nil
 }
@@ -155,7 +155,7 @@
 		c.mu.Unlock()
 		return nil, r
 	}
-	w := &waiter{req: req, result: make(chan Reason, 1)}
+	w := &waiter{req: req, result: make(chan Rejection, 1)}
 	c.enqueue(w, now)
 	c.processQueue(now)
 	c.mu.Unlock()
--- a/coordination/capacity/queue.go
+++ b/coordination/capacity/queue.go
@@ -10,15 +10,15 @@
 // waiter is a queued request.
 type waiter struct {
 	req    *Request
-	permit *Permit     // set before Admitted is sent to result
-	result chan Reason // buffered, so that the sender does not block
+	permit *Permit        // set before Admitted is sent to result
+	result chan Rejection // buffered, so that the sender does not block
 }
 
-func (w *waiter) outcome(r Reason) (*Permit, Rejection) {
-	if r == Admitted {
+func (w *waiter) outcome(r Rejection) (*Permit, Rejection) {
+	if r.Reason == Admitted {
 		return w.permit, Rejection{}
 	}
-	return nil, Rejection{Reason: r}
+	return nil, r
 }
 
 // estimate returns the probability that a request that starts after wait finishes too
@@ -133,19 +133,19 @@
 		case keepWaiting:
 			// The host has been disturbed for longer than expected.
 			if c.alternativeIsBetter(now, 0, w.req) {
-				w.result <- Slower
+				w.result <- Rejection{Reason: Slower}
 				continue
 			}
 			kept = append(kept, w)
 		case reject:
-			w.result <- Full
+			w.result <- Rejection{Reason: Full, RetryAfter: c.drainTime(len(kept), now)}
 		case startNow:
-			if _, ok := c.checkWarmup(now); !ok {
-				w.result <- Warming
+			if after, ok := c.checkWarmup(now); !ok {
+				w.result <- Rejection{Reason: Warming, RetryAfter: after}
 				continue
 			}
 			c.admit(now, w)
-			w.result <- Admitted
+			w.result <- Rejection{Reason: Admitted}
 		}
 	}
 	clear(c.queue[len(kept):])
@@ -170,11 +170,12 @@
 	for i := 0; i < len(c.queue); {
 		w := c.queue[i]
 		serviceTime := time.Duration(float64(w.req.ServiceTime) * c.currentUpstreamSlowdown(now))
-		if !c.tooLate(now, c.drainTime(i, now)+serviceTime, c.earliestStart(i, now)+serviceTime, w.req) {
+		earliest := c.earliestStart(i, now)
+		if !c.tooLate(now, c.drainTime(i, now)+serviceTime, earliest+serviceTime, w.req) {
 			i++
 			continue
 		}
-		w.result <- Full
+		w.result <- Rejection{Reason: Full, RetryAfter: earliest}
 		c.queue = append(c.queue[:i], c.queue[i+1:]...)
 	}
 }
--- a/coordination/capacity/script_test.go
+++ b/coordination/capacity/script_test.go
@@ -151,6 +151,12 @@
 func (s *script) expect(o map[string]string) {
 	for name, want := range o {
 		got := ""
+		if request, ok := strings.CutSuffix(name, ".after"); ok {
+			if got = s.requests[request].rejection.RetryAfter.String(); got != want {
+				s.t.Errorf("line %d: %s is %s, want %s", s.line, name, got, want)
+			}
+			continue
+		}
 		switch name {
 		case "running":
 			got = strconv.Itoa(s.controller.Load().Running)
--- a/coordination/quorum/host_test.go
+++ b/coordination/quorum/host_test.go
@@ -284,6 +284,28 @@
 	is.True(g.leader() != l)
 }
 
+// Guards against a read that never ends: the leader confirmed its index, and the disk failed before
+// this member had applied the log up to it.
+func TestDiskErrorEndsConfirmedReads(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 3)
+	g.propose("a")
+	l := g.leader()
+	r := &readRequest{ctx: context.Background(), done: make(chan bool, 1)}
+	is.NoErr(l.call(timeout(t, time.Second), func() {
+		l.confirmedReads = append(l.confirmedReads, confirmedRead{index: l.applied + 1, requests: []*readRequest{r}})
+		l.fail(errDisk)
+	}))
+	select {
+	case ok := <-r.done:
+		is.True(!ok)
+	case <-time.After(time.Second):
+		t.Fatal("the read has not ended")
+	}
+}
+
+var errDisk = errors.New("input/output error")
+
 // Guards against a leader in the minority that doesn't step down after an election timeout, and
 // against a proposal that it reports as committed.
 func TestCutLeaderStepsDown(t *testing.T) {
--- a/coordination/quorum/loop.go
+++ b/coordination/quorum/loop.go
@@ -142,6 +142,10 @@
 		completeReadRequests(requests, false)
 		delete(h.pendingReads, token)
 	}
+	for _, r := range h.confirmedReads {
+		completeReadRequests(r.requests, false) // their index will not be applied here
+	}
+	h.confirmedReads = nil
 }
 
 // flush advances the core's timers and processes its outputs: committed entries, batches, messages
--- a/protocol/controlplane/server_operator.go
+++ b/protocol/controlplane/server_operator.go
@@ -150,8 +150,13 @@
 	return &membersReply{Members: s.cfg.Log.Members()}
 }
 
+// maxReportMillis bounds how long the report of a node is kept, one hour. A larger value would
+// overflow a time.Duration.
+const maxReportMillis = 60 * 60 * 1000
+
 func (s *Server) report(_ context.Context, in *reportRequest) *reportReply {
 	now := s.cfg.Now()
-	s.reports.put(*in, now, now.Add(time.Duration(in.RemainingMillis)*time.Millisecond))
+	remaining := time.Duration(min(max(in.RemainingMillis, 0), maxReportMillis)) * time.Millisecond
+	s.reports.put(*in, now, now.Add(remaining))
 	return &reportReply{}
 }
--- a/protocol/feed/hub.go
+++ b/protocol/feed/hub.go
@@ -77,10 +77,10 @@
 	nodeName          string // set if the subscriber is a node
 	lastHeard         atomic.Pointer[time.Time]
 	storedIncarnation chan uint64 // see hubMessage.StoredIncarnation
-	directoryRevision uint64       // of the records sent last
-	version           uint64       // of the subscriber's document
-	stateRevision     uint64       // of the subscriber's state
-	hosts             []Host       // sent last
+	directoryRevision uint64      // of the records sent last
+	version           uint64      // of the subscriber's document
+	stateRevision     uint64      // of the subscriber's state
+	hosts             []Host      // sent last
 }
 
 func (h *Hub) serve(stream drpc.Stream) error {
--- a/protocol/forward/message.go
+++ b/protocol/forward/message.go
@@ -173,12 +173,16 @@
 	}
 }
 
+// maxRemainingMS bounds the remaining time that a peer states, one day. A larger value, or a very
+// negative one, would overflow a time.Duration.
+const maxRemainingMS = 24 * 60 * 60 * 1000
+
 func (m *openMessage) toRequest(now time.Time) *mulberrylink.Request {
 	return &mulberrylink.Request{
 		ID: m.ID, Service: m.Service, Method: m.Method, Path: m.Path,
 		Header: m.Header, Length: m.Length, Key: m.Key, Fingerprint: m.Fingerprint,
 		Idempotent: m.Idempotent, Keyed: m.Keyed,
-		Deadline:      now.Add(time.Duration(m.RemainingMS) * time.Millisecond),
+		Deadline:      now.Add(time.Duration(min(max(m.RemainingMS, 0), maxRemainingMS)) * time.Millisecond),
 		ExtraAttempts: m.ExtraAttempts, Depth: m.Depth,
 	}
 }
--- a/protocol/forward/message_test.go
+++ b/protocol/forward/message_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -128,3 +129,16 @@
 	table.pending(later.Add(fenceDuration))
 	is.Equal(len(table.fences), 0)
 }
+
+// Guards against a remaining time of another node that overflows: the request would never expire, or
+// its deadline would lie in the past although the caller waits.
+func TestRemainingTimeIsBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	for remaining, want := range map[int64]time.Duration{
+		math.MaxInt64: 24 * time.Hour, math.MaxInt64 / 1_000_000: 24 * time.Hour, math.MinInt64: 0, -5: 0, 1500: 1500 * time.Millisecond,
+	} {
+		m := openMessage{RemainingMS: remaining}
+		is.Equal(m.toRequest(now).Deadline.Sub(now), want)
+	}
+}
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -170,6 +170,10 @@
 	return x
 }
 
+// maxMillis bounds a time that a node sends, one day. A larger one would overflow a
+// time.Duration.
+const maxMillis = 24 * 60 * 60 * 1000
+
 func (p *fieldParser) millis(s string) time.Duration {
-	return time.Duration(p.int(s)) * time.Millisecond
+	return time.Duration(min(max(p.int(s), -maxMillis), maxMillis)) * time.Millisecond
 }
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -1,6 +1,7 @@
 package hop_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -49,3 +50,15 @@
 		}
 	})
 }
+
+// Guards against a time of another node that overflows and turns a deadline in the future into one
+// in the past.
+func TestTimesAreBounded(t *testing.T) {
+	is := is.New(t)
+	meta := hop.RequestMeta{ExchangeID: "x", Service: "s", Route: "r", CallerService: "c"}
+	text := strings.Replace(meta.Encode(), "0,0", "-9223372036854775808,9223372036854775807", 1)
+	parsed, err := hop.ParseRequestMeta(text)
+	is.NoErr(err)
+	is.Equal(parsed.Objective, -24*time.Hour)
+	is.Equal(parsed.Timeout, 24*time.Hour)
+}
--- a/state/storage/storage_test.go
+++ b/state/storage/storage_test.go
@@ -154,3 +154,17 @@
 	is.NoErr(s.Close())
 	is.NoErr(d.Close())
 }
+
+// Guards against a member that goes on after its first hard state could not be written: the file may
+// be incomplete, and a later write would hide it.
+func TestFailedInitIsFinal(t *testing.T) {
+	is := is.New(t)
+	disk := storagetest.New(1)
+	s, _, err := storage.Open(disk, storage.Options{SegmentSize: 200})
+	is.NoErr(err)
+	disk.Space = 0
+	is.True(s.Init(storage.Hard{ID: 1}) != nil)
+	disk.Space = 1 << 20
+	is.True(s.Init(storage.Hard{ID: 1}) != nil)
+	is.True(s.SaveHard(storage.Hard{ID: 1, Term: 1}) != nil)
+}
--- a/state/storage/store.go
+++ b/state/storage/store.go
@@ -108,7 +108,10 @@
 	if s.exists {
 		return ErrExists
 	}
-	if err := s.writeChecksummed(hardStateName, &h); err != nil {
+	if s.err != nil {
+		return s.err
+	}
+	if err := s.recordError(s.writeChecksummed(hardStateName, &h)); err != nil {
 		return err
 	}
 	s.exists = true
