Send cold upstreams the burst that the platform's bounds allow

Load: all upstreams are cold at once after everything lost power. Cause: a cold upstream got 1.3 times warmup_per_s in each second; the deployment's bounds allow 1.5 times that and warmup_slack requests more in a second.

The limit is now a token bucket with 0.9 of that rate and 0.8 of that slack, both from the bounds in the settings; a node that has just started has one token.

Hold requests until the first configuration

Cause: after the same fault, nodes refused all requests for the 0.57 s until a leader had confirmed the configuration, and their callers came back together, once. A node that has just started now holds them for at most half of their time and 1.5 s from its start.

--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -18,7 +18,7 @@
 	open               bool
 	running            int
 	queue              []*waiter
-	recentAdmissions   []time.Time // within warmupWindow, oldest first
+	warmup             warmupBucket
 	estimator          limitEstimator
 	limit              int     // largest number of running requests, at most the slots
 	hostSlowdown       float64 // last reported slowdown of the host
@@ -51,6 +51,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	c.upstream, c.open = u, true
+	c.warmup.setLimits(u.WarmupRate, u.WarmupBurst, now)
 	c.limit = c.estimator.limit(u.Slots, now)
 	c.processQueue(now)
 }
@@ -223,13 +224,8 @@
 	if !now.Before(c.upstream.ColdUntil) {
 		return 0, true
 	}
-	for len(c.recentAdmissions) > 0 && now.Sub(c.recentAdmissions[0]) >= warmupWindow {
-		c.recentAdmissions = c.recentAdmissions[1:]
-	}
-	if len(c.recentAdmissions) < max(1, int(c.upstream.WarmupRate)) {
-		return 0, true
-	}
-	return warmupWindow - now.Sub(c.recentAdmissions[0]), false
+	after := min(c.warmup.timeToToken(now), c.upstream.ColdUntil.Sub(now))
+	return after, after <= 0
 }
 
 func (c *Controller) admit(now time.Time, w *waiter) {
@@ -238,10 +234,7 @@
 	c.permits[w.permit] = struct{}{}
 	// Admissions to a warm upstream count too, because it may become known later that
 	// the upstream was cold.
-	c.recentAdmissions = append(c.recentAdmissions, now)
-	for len(c.recentAdmissions) > 0 && now.Sub(c.recentAdmissions[0]) >= warmupWindow {
-		c.recentAdmissions = c.recentAdmissions[1:]
-	}
+	c.warmup.take(now)
 }
 
 // Release frees the slot. Further calls have no effect.
--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -58,9 +58,6 @@
 	// failureDecay is the time constant with which the failure rate decays without
 	// results.
 	failureDecay = 2 * time.Second
-	// warmupWindow is the sliding window in which requests to a cold upstream are
-	// counted.
-	warmupWindow = time.Second
 	// waitMarginDivisor makes the safety margin for entering the queue a tenth of the
 	// expected time to finish, because the requests ahead may take a little longer.
 	waitMarginDivisor = 10
@@ -106,8 +103,9 @@
 	Slots int
 	// ColdUntil is the end of the warm-up.
 	ColdUntil time.Time
-	// WarmupRate is the limit of requests per second while the upstream is cold.
-	WarmupRate float64
+	// WarmupRate is the limit of requests per second while the upstream is cold, and
+	// WarmupBurst the number of requests beyond it that the upstream takes at once.
+	WarmupRate, WarmupBurst float64
 }
 
 // Request describes a request to admit.
--- a/coordination/capacity/script_test.go
+++ b/coordination/capacity/script_test.go
@@ -102,7 +102,7 @@
 	switch command {
 	case "open":
 		s.controller.Open(capacity.Upstream{
-			Slots: int(s.number(o["slots"], 1)), ColdUntil: time.Now().Add(s.time(o["cold"], 0)), WarmupRate: s.number(o["rate"], 0),
+			Slots: int(s.number(o["slots"], 1)), ColdUntil: time.Now().Add(s.time(o["cold"], 0)), WarmupRate: s.number(o["rate"], 0), WarmupBurst: s.number(o["burst"], 1),
 		})
 	case "close":
 		s.controller.Close()
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -158,6 +158,18 @@
 }
 
 func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := newDeploymentWithoutConfig(t)
+	d.configure()
+	return d
+}
+
+func (d *deployment) configure() {
+	c := document.Change{Version: 1, Replace: true}
+	d.machine.Apply(0, document.Encode(document.Command{Change: &c}))
+}
+
+func newDeploymentWithoutConfig(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t, machine: document.NewMachine()}
 	route := func(name, prefix string, kind routes.Kind) routes.Route {
@@ -185,8 +197,6 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(ctx, lis) }()
 	t.Cleanup(func() { cancel(); <-done })
-	c := document.Change{Version: 1, Replace: true}
-	d.machine.Apply(0, document.Encode(document.Command{Change: &c}))
 	return d
 }
 
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -154,8 +154,9 @@
 	// NonIdempotentValue is the value of a response to a non-idempotent request relative
 	// to an idempotent one.
 	NonIdempotentValue float64
-	// WarmupRateScale scales the request rate that cold upstreams receive.
-	WarmupRateScale float64
+	// WarmupRateScale scales the request rate that cold upstreams receive, and WarmupBurst
+	// is the number of requests beyond it that each of them takes at once.
+	WarmupRateScale, WarmupBurst float64
 }
 
 // activeConfig is the configuration in force on the node.
@@ -174,6 +175,7 @@
 	directory     *directory.Directory
 	feed          *feed.Client
 	active        atomic.Pointer[activeConfig]
+	configured    chan struct{} // closed when the first configuration is active
 	leaving       atomic.Bool
 	exitDeadline  atomic.Pointer[time.Time] // when a process that is shutting down must have exited
 	exchangeSeq   atomic.Uint64
@@ -197,7 +199,8 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log, startedAt: time.Now(), epoch: strconv.FormatUint(rand.Uint64(), 16),
-		directory: directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
+		configured: make(chan struct{}),
+		directory:  directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
 		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), stats: newStats(cfg.Registry),
 	}
@@ -295,6 +298,9 @@
 	oldVersion := uint64(0)
 	if old != nil {
 		oldVersion = old.state.Version
+	} else {
+		close(g.configured)
+		g.upstream.requestProbe() // the path of the probes is a part of the configuration
 	}
 	g.log.Info().Uint64("version", s.Version).Uint64("before", oldVersion).Strs("out", s.DomainsOut).Msg("configuration in force")
 	g.upstream.publish()
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -31,7 +31,9 @@
 	defaultRetryAfter = 250 * time.Millisecond
 	// typicalConfigDelay is the usual time from the start of a node until it has a
 	// configuration: control hosts that restart with it elect a leader first.
+	// maxConfigDelay allows for a second election.
 	typicalConfigDelay = 700 * time.Millisecond
+	maxConfigDelay     = 1500 * time.Millisecond
 	// serviceTimesBeforeFailure is the number of service times that an attempt must have
 	// run without a response to count as a failure of its upstream at the deadline.
 	serviceTimesBeforeFailure = 2
@@ -55,11 +57,14 @@
 // serveCaller handles a request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	active := g.active.Load()
+	active := g.awaitConfig(r, now)
 	if active == nil {
 		g.writeError(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonNoConfig, max(defaultRetryAfter, g.startedAt.Add(typicalConfigDelay).Sub(now)))
 		return
 	}
+	if r.Context().Err() != nil {
+		return // the caller has left in the meantime
+	}
 	if remaining := g.timeToExit(now); remaining < rejectBeforeExit {
 		g.writeError(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonLeaving, max(remaining, defaultRetryAfter))
 		return
@@ -91,6 +96,30 @@
 	req.serve(w)
 }
 
+// awaitConfig returns the active configuration. A node that has just started gets it within
+// maxConfigDelay if a control host has a leader. It holds requests until then, for at most half
+// of their time: a caller that is told to come back does so only once or twice.
+func (g *Gateway) awaitConfig(r *http.Request, now time.Time) *activeConfig {
+	if active := g.active.Load(); active != nil {
+		return active
+	}
+	wait := g.startedAt.Add(maxConfigDelay).Sub(now)
+	if timeout, ok := g.cfg.Headers.Timeout(r.Header); ok {
+		wait = min(wait, timeout/2)
+	}
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-g.configured:
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+	return g.active.Load()
+}
+
 // receiveBody buffers the body of a request within the limits of its size and its deadline. A
 // caller may send a body without end, or byte by byte.
 func (g *Gateway) receiveBody(w http.ResponseWriter, req *request) error {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -467,3 +467,32 @@
 	}
 	waitFor(t, time.Second, "free slots", func() bool { return n.g.Load().Running == 0 })
 }
+
+// Guards against refusing the requests that arrive between the start of a node and its first
+// configuration, after all processes have been restarted. Callers come back only once, and all at
+// the same moment. Without a configuration within the time that an election takes, they are refused.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	is := is.New(t)
+	d := newDeploymentWithoutConfig(t)
+	n := d.addNode("n1", "d1", "archive", 4)
+	waitFor(t, time.Second, "listening node", func() bool {
+		c, err := net.Dial("tcp", n.outbound)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	})
+	time.AfterFunc(400*time.Millisecond, d.configure)
+	is.Equal(n.send("GET", "/read/1", "early", "").status, http.StatusOK)
+
+	late := newDeploymentWithoutConfig(t).addNode("n1", "d1", "archive", 4)
+	var resp response
+	waitFor(t, 5*time.Second, "refusal", func() bool { resp = late.send("GET", "/read/1", "late", ""); return resp.err == nil })
+	is.Equal(resp.status, http.StatusServiceUnavailable)
+	is.Equal(resp.header.Get("Mulberry-Reason"), "noconfig")
+	start := time.Now()
+	waitFor(t, 2*time.Second, "refusal at once", func() bool {
+		start = time.Now()
+		return late.send("GET", "/read/1", "later", "").status == http.StatusServiceUnavailable && time.Since(start) < 100*time.Millisecond
+	})
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -28,6 +28,11 @@
 	refreshTimeout = 20 * time.Millisecond
 	// minProbeDelay is the minimum time between two checks of the age of the load report.
 	minProbeDelay = 5 * time.Millisecond
+	// warmupRateShare and warmupBurstShare are the shares of the rate and the burst of a
+	// cold upstream that are used. Requests that are admitted one after the other may
+	// reach the upstream together, when the node is short of processor time in between.
+	warmupRateShare  = 0.9
+	warmupBurstShare = 0.8
 	// probeTimeout bounds one health probe.
 	probeTimeout = 400 * time.Millisecond
 )
@@ -195,7 +200,7 @@
 		u.g.admission.Close()
 	} else {
 		u.g.admission.Open(capacity.Upstream{
-			Slots: u.instance.Slots, ColdUntil: u.coldUntil, WarmupRate: service.WarmupRate * u.g.cfg.Tuning.WarmupRateScale,
+			Slots: u.instance.Slots, ColdUntil: u.coldUntil, WarmupRate: warmupRateShare * service.WarmupRate * u.g.cfg.Tuning.WarmupRateScale, WarmupBurst: warmupBurstShare * u.g.cfg.Tuning.WarmupBurst,
 		})
 	}
 	if u.announced != n {
