Queue the requests of cold upstreams by priority, refuse at once what would be late

Load: all upstreams are cold and twice as slow after everything lost power. Cause: a request took the next free place of some upstream or was refused with the time to that place (18 ms on average), which hundreds of callers then contested; they come back once. Urgent requests had no precedence.

A request now waits for its turn at a cold upstream if it can still be in time, in the order of priority and deadline, so callers that came back go first. Otherwise it is refused with the time that the queue takes. Placement counts the queue of a cold upstream, and three full queues end the search.

--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -19,6 +19,7 @@
 	running            int
 	queue              []*waiter
 	warmup             warmupBucket
+	wakeAt             time.Time // when the queue is processed for the next request of a cold upstream
 	estimator          limitEstimator
 	limit              int     // largest number of running requests, at most the slots
 	hostSlowdown       float64 // last reported slowdown of the host
@@ -197,14 +198,13 @@
 	case len(c.queue) >= maxQueueLength:
 		return Rejection{Reason: Full, RetryAfter: c.drainTime(len(c.queue), now)}
 	}
-	if after, ok := c.checkWarmup(now); !ok {
-		return Rejection{Reason: Warming, RetryAfter: after}
-	}
+	ahead := c.position(req, now)
 	wait, earliest := time.Duration(0), time.Duration(0)
 	if c.running >= c.limit {
-		ahead := c.position(req, now)
 		wait, earliest = c.drainTime(ahead, now), c.earliestStart(ahead, now)
 	}
+	warmupWait := c.warmupWait(ahead, now)
+	wait, earliest = max(wait, warmupWait), max(earliest, warmupWait)
 	if c.alternativeIsBetter(now, wait, req) {
 		return Rejection{Reason: Slower}
 	}
@@ -212,20 +212,36 @@
 		_, finish := c.estimate(now, wait, req)
 		return finish + finish/waitMarginDivisor
 	}
+	if warmupWait > 0 && now.Add(finishWithMargin(wait)).After(req.Objective) {
+		return Rejection{Reason: Warming, RetryAfter: c.warmupWait(len(c.queue), now)}
+	}
 	if wait > 0 && c.tooLate(now, finishWithMargin(wait), finishWithMargin(earliest), req) {
 		return Rejection{Reason: Full, RetryAfter: earliest}
 	}
 	return Rejection{}
 }
 
-// checkWarmup reports whether the request rate of a cold upstream allows another request
-// now, and otherwise returns the time until it does.
-func (c *Controller) checkWarmup(now time.Time) (time.Duration, bool) {
+// warmupWait returns how long the request rate of a cold upstream delays a request with ahead
+// others before it in the queue.
+func (c *Controller) warmupWait(ahead int, now time.Time) time.Duration {
 	if !now.Before(c.upstream.ColdUntil) {
-		return 0, true
+		return 0
+	}
+	return min(c.warmup.timeToTokens(ahead+1, now), c.upstream.ColdUntil.Sub(now))
+}
+
+// wakeAfter processes the queue again when a cold upstream may get its next request.
+func (c *Controller) wakeAfter(d time.Duration, now time.Time) {
+	at := now.Add(d)
+	if now.Before(c.wakeAt) && !at.Before(c.wakeAt) {
+		return // it is processed earlier than that
 	}
-	after := min(c.warmup.timeToToken(now), c.upstream.ColdUntil.Sub(now))
-	return after, after <= 0
+	c.wakeAt = at
+	time.AfterFunc(d, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.processQueue(c.now())
+	})
 }
 
 func (c *Controller) admit(now time.Time, w *waiter) {
--- a/coordination/capacity/queue.go
+++ b/coordination/capacity/queue.go
@@ -124,6 +124,7 @@
 func (c *Controller) processQueue(now time.Time) {
 	c.sortQueue(now)
 	kept := c.queue[:0]
+process:
 	for i, w := range c.queue {
 		if c.running >= c.limit {
 			kept = append(kept, c.queue[i:]...)
@@ -140,9 +141,10 @@
 		case reject:
 			w.result <- Rejection{Reason: Full, RetryAfter: c.drainTime(len(kept), now)}
 		case startNow:
-			if after, ok := c.checkWarmup(now); !ok {
-				w.result <- Rejection{Reason: Warming, RetryAfter: after}
-				continue
+			if after := c.warmupWait(0, now); after > 0 {
+				kept = append(kept, c.queue[i:]...)
+				c.wakeAfter(after, now)
+				break process
 			}
 			c.admit(now, w)
 			w.result <- Rejection{Reason: Admitted}
@@ -170,8 +172,9 @@
 	for i := 0; i < len(c.queue); {
 		w := c.queue[i]
 		serviceTime := time.Duration(float64(w.req.ServiceTime) * c.currentUpstreamSlowdown(now))
-		earliest := c.earliestStart(i, now)
-		if !c.tooLate(now, c.drainTime(i, now)+serviceTime, earliest+serviceTime, w.req) {
+		warmupWait := c.warmupWait(i, now)
+		earliest := max(c.earliestStart(i, now), warmupWait)
+		if !c.tooLate(now, max(c.drainTime(i, now), warmupWait)+serviceTime, earliest+serviceTime, w.req) {
 			i++
 			continue
 		}
--- a/coordination/capacity/warmup.go
+++ b/coordination/capacity/warmup.go
@@ -36,14 +36,15 @@
 	b.tokens = max(0, b.tokens-1)
 }
 
-// timeToToken returns the time until a token is available, 0 when there is one now.
-func (b *warmupBucket) timeToToken(now time.Time) time.Duration {
+// timeToTokens returns the time until n tokens are available, 0 when they are now.
+func (b *warmupBucket) timeToTokens(n int, now time.Time) time.Duration {
 	b.refill(now)
+	missing := float64(n) - b.tokens
 	switch {
-	case b.tokens >= 1:
+	case missing <= 0:
 		return 0
 	case b.rate <= 0:
 		return math.MaxInt64
 	}
-	return time.Duration(math.Ceil((1 - b.tokens) / b.rate * float64(time.Second)))
+	return time.Duration(math.Ceil(missing / b.rate * float64(time.Second)))
 }
--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -81,6 +81,9 @@
 	// Slots is used while no load report is known.
 	Slots int
 	Cold  bool
+	// WarmupRate is the request rate of the upstream while it is cold, 0 when it isn't
+	// known.
+	WarmupRate float64
 	// Local is true for the upstream beside the entry node.
 	Local bool
 }
@@ -200,8 +203,12 @@
 	// Some of the reported requests have ended since, and the requests sent from this
 	// node may be among them, so the larger of the two numbers is used.
 	queued := math.Max(confidence*float64(load.Running+load.Waiting), float64(s.inFlight))
+	warmupWait := 0.0
+	if load.Cold && c.WarmupRate > 0 && load.Waiting > 0 {
+		warmupWait = confidence * float64(load.Waiting+1) / c.WarmupRate * float64(time.Second)
+	}
 	estimate := func(slowdown float64) (time.Duration, float64) {
-		wait := math.Max(0, queued-float64(load.Slots)+1) / float64(load.Slots) * float64(req.ServiceTime) * slowdown
+		wait := math.Max(warmupWait, math.Max(0, queued-float64(load.Slots)+1)/float64(load.Slots)*float64(req.ServiceTime)*slowdown)
 		miss, finish := EstimateCompletion(now, networkTime+time.Duration(wait), req.ServiceTime, slowdown, req.Objective, req.Deadline)
 		return finish, miss
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -18,7 +18,10 @@
 // reasonNodeUnreachable is the rejection reason of a node that could not be reached.
 const reasonNodeUnreachable = "lostnode"
 
-var reasonSlower = capacity.Slower.String()
+var (
+	reasonSlower  = capacity.Slower.String()
+	reasonWarming = capacity.Warming.String()
+)
 
 const (
 	// expectContinueThreshold is the size above which a body is sent to another node only
@@ -40,13 +43,14 @@
 	serviceNodes := g.directory.ServiceNodes(s.req.service)
 	nodes = make(map[string]mulberrylink.Node, len(serviceNodes))
 	active := g.active.Load()
+	warmupRate := g.warmupRate(active.table.Services[s.req.service])
 	add := func(n mulberrylink.Node) {
 		if active.state.IsDomainOut(n.Domain) {
 			return
 		}
 		nodes[n.Name] = n
 		all = append(all, placement.Candidate{
-			Name: n.Name, Domain: n.Domain, Slots: n.Slots, Cold: n.Upstream == mulberrylink.UpstreamCold, Local: n.Name == g.cfg.Name,
+			Name: n.Name, Domain: n.Domain, Slots: n.Slots, Cold: n.Upstream == mulberrylink.UpstreamCold, WarmupRate: warmupRate, Local: n.Name == g.cfg.Name,
 		})
 	}
 	for _, n := range serviceNodes {
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -46,6 +46,9 @@
 	// upstream is faster.
 	maxPlacements       = 8
 	maxSlowerRejections = 3
+	// maxWarmingRejections limits how many cold upstreams with a full queue are tried. When
+	// all of them have one, each further try only delays the refusal.
+	maxWarmingRejections = 3
 )
 
 // Headers of responses that the node itself generates.
@@ -159,12 +162,14 @@
 	excluded         map[string]bool
 	placements       int
 	slowerRejections int
-	attempts         int // number of attempts that were not rejected
-	retriesSpent     int // attempts taken from the retry budget
-	retryAfter       time.Duration
-	rejectReason     string
-	lastFailure      *attempt // the last failed attempt; decides the response when no other attempt succeeds
-	hedged           bool
+	// warmingRejections counts the rejections of cold upstreams.
+	warmingRejections int
+	attempts          int // number of attempts that were not rejected
+	retriesSpent      int // attempts taken from the retry budget
+	retryAfter        time.Duration
+	rejectReason      string
+	lastFailure       *attempt // the last failed attempt; decides the response when no other attempt succeeds
+	hedged            bool
 }
 
 // serve starts attempts until the caller has a response.
@@ -252,7 +257,10 @@
 		} else {
 			s.excluded[a.node.Name] = true
 		}
-		if len(s.running) > 0 || s.startAttempt(firstAttempt) {
+		if res.meta.RejectReason == reasonWarming {
+			s.warmingRejections++
+		}
+		if len(s.running) > 0 || s.warmingRejections < maxWarmingRejections && s.startAttempt(firstAttempt) {
 			return false
 		}
 		return s.respondFailure()
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -200,7 +200,7 @@
 		u.g.admission.Close()
 	} else {
 		u.g.admission.Open(capacity.Upstream{
-			Slots: u.instance.Slots, ColdUntil: u.coldUntil, WarmupRate: warmupRateShare * service.WarmupRate * u.g.cfg.Tuning.WarmupRateScale, WarmupBurst: warmupBurstShare * u.g.cfg.Tuning.WarmupBurst,
+			Slots: u.instance.Slots, ColdUntil: u.coldUntil, WarmupRate: u.g.warmupRate(service), WarmupBurst: warmupBurstShare * u.g.cfg.Tuning.WarmupBurst,
 		})
 	}
 	if u.announced != n {
@@ -209,6 +209,11 @@
 	}
 }
 
+// warmupRate returns the request rate of a cold upstream of a service.
+func (g *Gateway) warmupRate(s routes.Service) float64 {
+	return warmupRateShare * s.WarmupRate * g.cfg.Tuning.WarmupRateScale
+}
+
 // recordResponse applies the load and the warm-up time that a response reports.
 func (u *Upstream) recordResponse(info ResponseInfo) {
 	u.mu.Lock()
