--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -240,7 +240,7 @@
 		Name: name, Domain: domain, OutboundAddr: n.outbound, InboundAddr: inbound, AdvertisedAddr: advertised, Seeds: []string{d.hubAddr},
 		Service: service, UpstreamAddr: u.addr, Headers: testHeaders{}, GracePeriod: 6 * time.Second,
 		DecodeTable: func(*document.State) (*routes.Table, error) { return d.table, nil },
-		Tuning:      gateway.Tuning{CrossDomainRTT: 4 * time.Millisecond, TransferCostPerKiB: 0.02, RetryPercent: 50, RetryRefillInterval: time.Second, WarmupRateScale: 1, NonIdempotentValue: 2},
+		Tuning:      gateway.Tuning{CrossDomainRTT: 4 * time.Millisecond, TransferCostPerKiB: 0.02, RetryPercent: 50, RetryRefillInterval: time.Second, MaxRetryTokens: 3, WarmupRateScale: 1, NonIdempotentValue: 2},
 		Log:         discardLogger(), Registry: metrics.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -148,9 +148,12 @@
 	// objectives are shortened by it.
 	CallerRTT time.Duration
 	// RetryPercent is the retry budget as a percentage of requests.
-	// RetryRefillInterval is the interval at which one additional retry is allowed.
+	// RetryRefillInterval is the interval at which one additional retry is allowed, and
+	// MaxRetryTokens the number of unused retries that the node may save for a service: all
+	// nodes may spend theirs at the same time.
 	RetryPercent        int
 	RetryRefillInterval time.Duration
+	MaxRetryTokens      int
 	// NonIdempotentValue is the value of a response to a non-idempotent request relative
 	// to an idempotent one.
 	NonIdempotentValue float64
@@ -205,7 +208,7 @@
 		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), stats: newStats(cfg.Registry),
 	}
 	g.retryBudgets = retry.New(retry.Config{
-		Clock: systemClock{}, Registry: cfg.Registry, Reserve: 1, RefillInterval: cfg.Tuning.RetryRefillInterval, MaxTokens: maxRetryTokens,
+		Clock: systemClock{}, Registry: cfg.Registry, Reserve: 1, RefillInterval: cfg.Tuning.RetryRefillInterval, MaxTokens: cfg.Tuning.MaxRetryTokens,
 		Percent: func(string) int { return cfg.Tuning.RetryPercent },
 	})
 	g.upstreamPool = exchange.NewPool(exchange.Config{
@@ -224,11 +227,6 @@
 	return g
 }
 
-// maxRetryTokens limits how many unused retry tokens one node may accumulate. All nodes
-// may spend them at the same time and must then still be within the budget that
-// they share.
-const maxRetryTokens = 3
-
 // systemClock implements retry.Clock.
 type systemClock struct{}
 
