Abort the response to a caller that has left instead of ending it empty

The server completes a handler that wrote nothing with an empty 200. The test passes on the code before, too: there the node answers before it sees that the caller has left. Found by reading.

--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -66,7 +66,7 @@
 		return
 	}
 	if r.Context().Err() != nil {
-		return // the caller has left in the meantime
+		panic(http.ErrAbortHandler) // nobody reads a response
 	}
 	if remaining := g.timeToExit(now); remaining < rejectBeforeExit {
 		g.writeError(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonLeaving, max(remaining, defaultRetryAfter))
@@ -85,7 +85,8 @@
 	if err := g.receiveBody(w, req); err != nil {
 		var tooLarge *http.MaxBytesError
 		switch {
-		case r.Context().Err() != nil: // nobody reads a response
+		case r.Context().Err() != nil:
+			panic(http.ErrAbortHandler) // nobody reads a response
 		case errors.As(err, &tooLarge):
 			g.writeError(w, r, req, http.StatusRequestEntityTooLarge, mulberrylink.NotRun, mulberrylink.ReasonTooLarge.String(), 0)
 		case errors.Is(err, os.ErrDeadlineExceeded):
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -496,3 +496,34 @@
 		return late.send("GET", "/read/1", "later", "").status == http.StatusServiceUnavailable && time.Since(start) < 100*time.Millisecond
 	})
 }
+
+// Guards against an empty success for a caller that has closed its side of the connection while its
+// request waited for the first configuration, or in the middle of its body.
+func TestNoSuccessForACallerThatLeft(t *testing.T) {
+	for name, sent := range map[string]string{
+		"no configuration": "GET /read/1 HTTP/1.1\r\nHost: shop\r\n\r\n",
+		"half a body":      "POST /write/1 HTTP/1.1\r\nHost: shop\r\nContent-Length: 10\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeploymentWithoutConfig(t)
+			if name != "no configuration" {
+				d.configure()
+			}
+			n := d.addNode("n1", "d1", "archive", 4)
+			var conn net.Conn
+			waitFor(t, time.Second, "listening node", func() bool {
+				var err error
+				conn, err = net.Dial("tcp", n.outbound)
+				return err == nil
+			})
+			defer func() { _ = conn.Close() }()
+			_, err := io.WriteString(conn, sent)
+			is.NoErr(err)
+			is.NoErr(conn.(*net.TCPConn).CloseWrite())
+			data, err := io.ReadAll(conn)
+			is.NoErr(err)
+			is.True(!strings.Contains(string(data), " 200 "))
+		})
+	}
+}
