Lock the requests of the admission scripts

A timer of the controller ends the wait of a request since cold upstreams have a queue; the script reads its result without a lock. Only the test was affected: virtual time orders the two.

--- a/coordination/capacity/script_test.go
+++ b/coordination/capacity/script_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,7 @@
 
 // request is a named request of a script.
 type request struct {
+	mu        sync.Mutex // a timer of the controller, and not the script, may end the wait
 	permit    *capacity.Permit
 	rejection capacity.Rejection
 	done      bool
@@ -143,8 +145,10 @@
 		Deadline:  now.Add(s.time(o["deadline"], time.Second)), AlternativeCost: s.number(o["elsewhere"], 0),
 	}
 	go func() {
-		r.permit, r.rejection = s.controller.Acquire(ctx, req)
-		r.done = true
+		permit, rejection := s.controller.Acquire(ctx, req)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.permit, r.rejection, r.done = permit, rejection, true
 	}()
 }
 
@@ -152,7 +156,7 @@
 	for name, want := range o {
 		got := ""
 		if request, ok := strings.CutSuffix(name, ".after"); ok {
-			if got = s.requests[request].rejection.RetryAfter.String(); got != want {
+			if got = s.requests[request].retryAfter().String(); got != want {
 				s.t.Errorf("line %d: %s is %s, want %s", s.line, name, got, want)
 			}
 			continue
@@ -173,7 +177,15 @@
 	}
 }
 
+func (r *request) retryAfter() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rejection.RetryAfter
+}
+
 func (r *request) state() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	switch {
 	case !r.done:
 		return "waiting"
