--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -15,10 +15,16 @@
 // sooner is rejected with Slower, so that its entry node can choose that upstream; the
 // entry node states the expected cost there in Request.AlternativeCost.
 //
+// A cold upstream gets requests from a token bucket. The load that this answers is the return
+// of a whole deployment after a loss of power, when more is asked than all cold upstreams
+// together may take: a request that can still meet its objective waits for its turn by priority
+// and deadline, so that callers that were refused before go first. The others are rejected at
+// once with Warming and the time that the queue takes.
+//
 // # Usage
 //
 //	c := capacity.New(time.Now)
-//	c.Open(capacity.Upstream{Slots: 6, WarmupRate: 17})
+//	c.Open(capacity.Upstream{Slots: 6, WarmupRate: 17, WarmupBurst: 4})
 //	permit, rejection := c.Acquire(ctx, &req)
 //	if permit == nil {
 //		return rejection
