Log the rate limit and the leaving state that an upstream reports

Upstreams may name in their responses a limit of requests per second and that they are about to stop. No decision uses it yet.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -176,13 +176,14 @@
 	// The slowdown of the host at the start of a request applies to its whole service
 	// time.
 	slowdown := max(1, g.admission.Load().Slowdown)
+	g.upstream.recordSent(start)
 	resp, err := g.upstreamPool.Do(ctx, call)
 	took := time.Since(start)
 	if err != nil {
 		return g.handleExchangeError(ctx, req, hb, took, err)
 	}
 	info := codec.ParseResponse(resp.Status, resp.Header)
-	g.upstream.recordResponse(info)
+	g.upstream.recordResponse(info, false)
 	normalized := time.Duration(float64(took) / slowdown)
 	res := result{meta: hop.ResponseMeta{ServiceTime: normalized, NotRun: info.NotRun, Epoch: g.epoch}, resp: resp}
 	switch {
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -91,6 +91,15 @@
 	// true.
 	Warmup      time.Duration
 	WarmupKnown bool
+	// FromInstance is true when the upstream instance for which the request was meant made
+	// the response. RateLimited, RateLimit and Leaving are valid only then.
+	FromInstance bool
+	// RateLimited is true when the upstream accepts only RateLimit requests per second from
+	// all nodes together.
+	RateLimited bool
+	RateLimit   float64
+	// Leaving is true when the upstream is about to stop.
+	Leaving bool
 }
 
 // HeaderCodec reads and writes the headers that the callers and upstreams of a
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -65,6 +65,8 @@
 	slowdown       float64
 	announced      mulberrylink.Node // the last record sent to the control hosts
 	reportsLoad    bool              // responses of the upstream contain its load
+	rateLimit      rateLimit
+	leaving        bool // the instance has stated in a response that it stops
 	refreshDone    chan struct{}     // closed when the running refresh ends, nil without one
 	probeNow       chan struct{}
 }
@@ -93,7 +95,7 @@
 	u.earlier = Heartbeat{}
 	hb.Draining = hb.Draining || same && cur.Draining
 	if !same {
-		u.deregistered = false
+		u.deregistered, u.leaving = false, false
 		u.g.upstreamPool.CloseIdle(cur.Addr)
 	}
 	changed := !same || hb.Draining != cur.Draining || hb.Slots != cur.Slots || hb.Addr != cur.Addr || u.down
@@ -214,10 +216,19 @@
 	return warmupRateShare * s.WarmupRate * g.cfg.Tuning.WarmupRateScale
 }
 
-// recordResponse applies the load and the warm-up time that a response reports.
-func (u *Upstream) recordResponse(info ResponseInfo) {
+// recordResponse applies the load, the warm-up time and the rate limit that a response
+// reports. probe is true for the response to a health probe.
+func (u *Upstream) recordResponse(info ResponseInfo, probe bool) {
 	u.mu.Lock()
 	now := time.Now()
+	if info.FromInstance && u.rateLimit.update(info, now) {
+		u.g.log.Info().Str("upstream", u.instance.ID).Bool("limited", info.RateLimited).Float64("limit", info.RateLimit).
+			Bool("probe", probe).Msg("rate limit of the upstream changed")
+	}
+	if info.FromInstance && info.Leaving && !u.leaving {
+		u.leaving = true
+		u.g.log.Info().Str("upstream", u.instance.ID).Bool("probe", probe).Msg("upstream states that it leaves")
+	}
 	publish := false
 	previous := u.slowdown
 	if info.Slowdown > 0 {
@@ -334,7 +345,7 @@
 	defer resp.Close()
 	info := u.g.cfg.Headers.ParseResponse(resp.Status, resp.Header)
 	u.updateIdentity(&hb, resp.Status, info)
-	u.recordResponse(info)
+	u.recordResponse(info, true)
 }
 
 // updateIdentity applies the identity in the response to a health probe. A status other
@@ -354,7 +365,7 @@
 		u.down = false
 		if previousID != info.UpstreamID {
 			u.instance.ID, u.instance.Seq, u.instance.Incarnation = info.UpstreamID, 0, 0
-			u.instance.Draining, u.deregistered = false, false
+			u.instance.Draining, u.deregistered, u.leaving = false, false, false
 		}
 		if u.instance.Slots == 0 {
 			u.instance.Slots = max(1, info.Slots)
