Add a failing test for upstreams that exceed their stated rate limit

TestStatedRateLimitIsKept fails on this code: nodes read the limit and do not apply it. It is listed in KNOWN-RED.txt; make unit skips exactly the tests listed there and prints them.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,11 @@
 MODULES := . cmd/mulberrybench cmd/mulberrycontrol cmd/mulberryctl cmd/mulberrynode platform
 PROGRAMS := mulberrybench mulberrycontrol mulberryctl mulberrynode
 TOOLS := bin/tools
+# Names of the tests that are expected to fail, each from a line "test: NAME".
+KNOWN_RED := $(shell sed -n 's/^test: *\([A-Za-z0-9_]*\) *$$/\1/p' KNOWN-RED.txt 2>/dev/null)
+empty :=
+space := $(empty) $(empty)
+SKIP := $(if $(KNOWN_RED),-skip '^($(subst $(space),|,$(strip $(KNOWN_RED))))$$',)
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 export GOWORK := $(CURDIR)/go.work
 
@@ -26,7 +31,8 @@
 test: build fmtcheck lint unit
 
 unit:
-	@for m in $(MODULES); do (cd $$m && go test -race -timeout 8m ./...) || exit 1; done
+	@if [ -n "$(KNOWN_RED)" ]; then echo "not run, listed in KNOWN-RED.txt: $(KNOWN_RED)"; fi
+	@for m in $(MODULES); do (cd $$m && go test -race -timeout 8m $(SKIP) ./...) || exit 1; done
 
 tools: $(TOOLS)/.done
 
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -45,7 +45,11 @@
 
 func (testHeaders) ParseResponse(_ int, h http.Header) gateway.ResponseInfo {
 	slowdown, _ := strconv.ParseFloat(h.Get("Test-Pace"), 64)
-	return gateway.ResponseInfo{NotRun: h.Get("Test-Notrun") != "", Signed: h.Get("Test-Signed") != "", UpstreamID: h.Get("Test-Identity"), Slowdown: slowdown}
+	limit, err := strconv.ParseFloat(h.Get("Test-Limit"), 64)
+	return gateway.ResponseInfo{
+		NotRun: h.Get("Test-Notrun") != "", Signed: h.Get("Test-Signed") != "", UpstreamID: h.Get("Test-Identity"), Slowdown: slowdown,
+		FromInstance: true, RateLimited: err == nil, RateLimit: limit, Leaving: h.Get("Test-Leaving") != "",
+	}
 }
 
 // fakeUpstream is an HTTP server that counts the requests that it runs.
@@ -53,9 +57,11 @@
 	id, service, addr string
 	handler           http.HandlerFunc // writes the response instead of the default one
 	srv               *http.Server
+	stated            http.Header // added to all responses, also to health probes
 
 	mu         sync.Mutex
 	runs       map[string]int // runs by request identifier
+	runTimes   []time.Time    // start of each run
 	lastHeader http.Header
 	canceled   int // requests whose caller disconnected
 	running    int
@@ -63,6 +69,11 @@
 }
 
 func (u *fakeUpstream) serve(w http.ResponseWriter, r *http.Request) {
+	u.mu.Lock()
+	for name, values := range u.stated {
+		w.Header()[name] = values
+	}
+	u.mu.Unlock()
 	if r.URL.Path == "/health" {
 		u.mu.Lock()
 		defer u.mu.Unlock()
@@ -75,6 +86,7 @@
 	}
 	u.mu.Lock()
 	u.runs[r.Header.Get("Test-Id")]++
+	u.runTimes = append(u.runTimes, time.Now())
 	u.lastHeader = r.Header.Clone()
 	u.running++
 	u.maxRunning = max(u.maxRunning, u.running)
@@ -124,6 +136,35 @@
 	return u.maxRunning
 }
 
+// state sets a header of all responses from now on. An empty value removes it.
+func (u *fakeUpstream) state(name, value string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	next := u.stated.Clone()
+	if next == nil {
+		next = http.Header{}
+	}
+	next.Del(name)
+	if value != "" {
+		next.Set(name, value)
+	}
+	u.stated = next
+}
+
+// maxRunsWithin returns the largest number of runs that started within any time span.
+func (u *fakeUpstream) maxRunsWithin(span time.Duration) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range u.runTimes {
+		for at.Sub(u.runTimes[first]) > span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 func (u *fakeUpstream) setID(id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -66,8 +66,8 @@
 	announced      mulberrylink.Node // the last record sent to the control hosts
 	reportsLoad    bool              // responses of the upstream contain its load
 	rateLimit      rateLimit
-	leaving        bool // the instance has stated in a response that it stops
-	refreshDone    chan struct{}     // closed when the running refresh ends, nil without one
+	leaving        bool          // the instance has stated in a response that it stops
+	refreshDone    chan struct{} // closed when the running refresh ends, nil without one
 	probeNow       chan struct{}
 }
 
