Keep requests within the rate limit that an upstream states

Upstreams that asked for fewer requests got 2 to 4 times what they had stated: nodes read the limit and applied it nowhere. The node beside an upstream now admits requests under a stated limit from a token bucket, exact for the whole deployment because every request to the upstream passes that node. Requests wait for a token by priority and deadline; one that would be late is rejected at once as limited, and entry nodes learn the wait from each load report.

--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -18,8 +18,10 @@
 	open               bool
 	running            int
 	queue              []*waiter
-	warmup             warmupBucket
-	wakeAt             time.Time // when the queue is processed for the next request of a cold upstream
+	warmup             tokenBucket // requests to a cold upstream
+	rateLimited        bool        // the upstream has stated a rate limit
+	rate               tokenBucket // requests under the stated rate limit
+	wakeAt             time.Time   // when the queue is processed for the next token of warmup or rate
 	estimator          limitEstimator
 	limit              int     // largest number of running requests, at most the slots
 	hostSlowdown       float64 // last reported slowdown of the host
@@ -57,6 +59,20 @@
 	c.processQueue(now)
 }
 
+// SetRateLimit limits the requests per second, or ends the limit when limited is false.
+func (c *Controller) SetRateLimit(perSecond float64, limited bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.rateLimited = limited
+	if limited {
+		c.rate.setLimits(perSecond, perSecond*rateLimitBurst.Seconds(), now)
+	} else {
+		c.rate = tokenBucket{}
+	}
+	c.processQueue(now)
+}
+
 // Close rejects new and queued requests. Running requests keep their permits.
 func (c *Controller) Close() {
 	c.mu.Lock()
@@ -137,6 +153,7 @@
 	return placement.Load{
 		Running: c.running, Waiting: len(c.queue), Slots: c.limit,
 		Slowdown: c.currentHostSlowdown(now) * c.currentUpstreamSlowdown(now), FailureRate: c.currentFailureRate(now), Cold: now.Before(c.upstream.ColdUntil),
+		RateWait: c.limitWait(len(c.queue), now),
 	}
 }
 
@@ -203,8 +220,8 @@
 	if c.running >= c.limit {
 		wait, earliest = c.drainTime(ahead, now), c.earliestStart(ahead, now)
 	}
-	warmupWait := c.warmupWait(ahead, now)
-	wait, earliest = max(wait, warmupWait), max(earliest, warmupWait)
+	rateWait := c.rateWait(ahead, now)
+	wait, earliest = max(wait, rateWait), max(earliest, rateWait)
 	if c.alternativeIsBetter(now, wait, req) {
 		return Rejection{Reason: Slower}
 	}
@@ -212,8 +229,8 @@
 		_, finish := c.estimate(now, wait, req)
 		return finish + finish/waitMarginDivisor
 	}
-	if warmupWait > 0 && now.Add(finishWithMargin(wait)).After(req.Objective) {
-		return Rejection{Reason: Warming, RetryAfter: c.warmupWait(len(c.queue), now)}
+	if rateWait > 0 && now.Add(finishWithMargin(wait)).After(req.Objective) {
+		return c.rateRejection(now)
 	}
 	if wait > 0 && c.tooLate(now, finishWithMargin(wait), finishWithMargin(earliest), req) {
 		return Rejection{Reason: Full, RetryAfter: earliest}
@@ -221,8 +238,13 @@
 	return Rejection{}
 }
 
-// warmupWait returns how long the request rate of a cold upstream delays a request with ahead
-// others before it in the queue.
+// rateWait returns how long the request rate of the upstream delays a request with ahead others
+// before it in the queue.
+func (c *Controller) rateWait(ahead int, now time.Time) time.Duration {
+	return max(c.warmupWait(ahead, now), c.limitWait(ahead, now))
+}
+
+// warmupWait returns the part of rateWait that a cold upstream causes.
 func (c *Controller) warmupWait(ahead int, now time.Time) time.Duration {
 	if !now.Before(c.upstream.ColdUntil) {
 		return 0
@@ -230,7 +252,30 @@
 	return min(c.warmup.timeToTokens(ahead+1, now), c.upstream.ColdUntil.Sub(now))
 }
 
-// wakeAfter processes the queue again when a cold upstream may get its next request.
+// limitWait returns the part of rateWait that a stated rate limit causes.
+func (c *Controller) limitWait(ahead int, now time.Time) time.Duration {
+	switch {
+	case !c.rateLimited:
+		return 0
+	case c.rate.rate <= 0:
+		return maxRateWait
+	}
+	return c.rate.timeToTokens(ahead+1, now)
+}
+
+// rateRejection rejects a request that the request rate of the upstream makes too late.
+func (c *Controller) rateRejection(now time.Time) Rejection {
+	r := Rejection{Reason: Warming, RetryAfter: c.rateWait(len(c.queue), now)}
+	if c.limitWait(len(c.queue), now) > c.warmupWait(len(c.queue), now) {
+		r.Reason = Limited
+	}
+	if r.RetryAfter >= maxRateWait {
+		r.RetryAfter = 0 // it is not known when the upstream accepts requests again
+	}
+	return r
+}
+
+// wakeAfter processes the queue again when the upstream may get its next request.
 func (c *Controller) wakeAfter(d time.Duration, now time.Time) {
 	at := now.Add(d)
 	if now.Before(c.wakeAt) && !at.Before(c.wakeAt) {
@@ -251,6 +296,9 @@
 	// Admissions to a warm upstream count too, because it may become known later that
 	// the upstream was cold.
 	c.warmup.take(now)
+	if c.rateLimited {
+		c.rate.take(now)
+	}
 }
 
 // Release frees the slot. Further calls have no effect.
--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -21,6 +21,11 @@
 // and deadline, so that callers that were refused before go first. The others are rejected at
 // once with Warming and the time that the queue takes.
 //
+// An upstream in trouble may state how many requests per second it accepts. SetRateLimit applies
+// that limit with a second token bucket, and a request that it would make late is rejected with
+// Limited. The load that this answers is a service whose upstreams have mostly asked for fewer
+// requests: Load.RateWait tells entry nodes which upstreams have room for another one.
+//
 // # Usage
 //
 //	c := capacity.New(time.Now)
@@ -70,6 +75,9 @@
 	// overdueRemaining is the minimum remaining time that is assumed for a running
 	// request, also when it has already run longer than expected.
 	overdueRemaining = 20 * time.Millisecond
+	// rateLimitBurst is the time whose requests an upstream with a rate limit may get at once.
+	// Without a burst, each gap between requests that come at random would lower the rate.
+	rateLimitBurst = 500 * time.Millisecond
 	// maxQueueLength bounds the queue. A longer queue could not be served before its
 	// deadlines.
 	maxQueueLength = 1024
@@ -89,6 +97,8 @@
 	Full // full
 	// Warming means that the upstream is cold and has reached its request rate.
 	Warming // warming
+	// Limited means that the upstream has stated a rate limit and has reached it.
+	Limited // limited
 	// Slower means that the request has a lower expected cost at another upstream.
 	Slower // slower
 	// Expired means that the deadline passed or the request was canceled while it was
--- a/coordination/capacity/queue.go
+++ b/coordination/capacity/queue.go
@@ -141,7 +141,7 @@
 		case reject:
 			w.result <- Rejection{Reason: Full, RetryAfter: c.drainTime(len(kept), now)}
 		case startNow:
-			if after := c.warmupWait(0, now); after > 0 {
+			if after := c.rateWait(0, now); after > 0 {
 				kept = append(kept, c.queue[i:]...)
 				c.wakeAfter(after, now)
 				break process
@@ -152,7 +152,7 @@
 	}
 	clear(c.queue[len(kept):])
 	c.queue = kept
-	if c.running >= c.limit || len(c.queue) > c.limit {
+	if c.running >= c.limit || len(c.queue) > c.limit || c.rateWait(len(c.queue), now) > 0 {
 		c.rejectLate(now)
 	}
 }
@@ -172,9 +172,9 @@
 	for i := 0; i < len(c.queue); {
 		w := c.queue[i]
 		serviceTime := time.Duration(float64(w.req.ServiceTime) * c.currentUpstreamSlowdown(now))
-		warmupWait := c.warmupWait(i, now)
-		earliest := max(c.earliestStart(i, now), warmupWait)
-		if !c.tooLate(now, max(c.drainTime(i, now), warmupWait)+serviceTime, earliest+serviceTime, w.req) {
+		rateWait := c.rateWait(i, now)
+		earliest := max(c.earliestStart(i, now), rateWait)
+		if !c.tooLate(now, max(c.drainTime(i, now), rateWait)+serviceTime, earliest+serviceTime, w.req) {
 			i++
 			continue
 		}
--- a/coordination/capacity/reason_string.go
+++ b/coordination/capacity/reason_string.go
@@ -12,13 +12,14 @@
 	_ = x[Closed-1]
 	_ = x[Full-2]
 	_ = x[Warming-3]
-	_ = x[Slower-4]
-	_ = x[Expired-5]
+	_ = x[Limited-4]
+	_ = x[Slower-5]
+	_ = x[Expired-6]
 }
 
-const _Reason_name = "admittedclosedfullwarmingslowerexpired"
+const _Reason_name = "admittedclosedfullwarminglimitedslowerexpired"
 
-var _Reason_index = [...]uint8{0, 8, 14, 18, 25, 31, 38}
+var _Reason_index = [...]uint8{0, 8, 14, 18, 25, 32, 38, 45}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/coordination/capacity/script_test.go
+++ b/coordination/capacity/script_test.go
@@ -106,6 +106,8 @@
 		s.controller.Open(capacity.Upstream{
 			Slots: int(s.number(o["slots"], 1)), ColdUntil: time.Now().Add(s.time(o["cold"], 0)), WarmupRate: s.number(o["rate"], 0), WarmupBurst: s.number(o["burst"], 1),
 		})
+	case "rate":
+		s.controller.SetRateLimit(s.number(o["limit"], 0), o["limit"] != "")
 	case "close":
 		s.controller.Close()
 	case "speed":
@@ -166,6 +168,8 @@
 			got = strconv.Itoa(s.controller.Load().Running)
 		case "waiting":
 			got = strconv.Itoa(s.controller.Load().Waiting)
+		case "ratewait":
+			got = s.controller.Load().RateWait.String()
 		case "limit":
 			got = strconv.Itoa(s.controller.Load().Slots)
 		default:
--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -71,6 +71,9 @@
 	FailureRate float64
 	// Cold is true while the upstream warms up and its request rate is limited.
 	Cold bool
+	// RateWait is how long a new request waits because of the rate limit that the upstream
+	// states, 0 when it can start at once or there is no limit.
+	RateWait time.Duration
 }
 
 // Candidate is an upstream that may be chosen.
@@ -203,12 +206,15 @@
 	// Some of the reported requests have ended since, and the requests sent from this
 	// node may be among them, so the larger of the two numbers is used.
 	queued := math.Max(confidence*float64(load.Running+load.Waiting), float64(s.inFlight))
-	warmupWait := 0.0
+	rateWait := 0.0
 	if load.Cold && c.WarmupRate > 0 && load.Waiting > 0 {
-		warmupWait = confidence * float64(load.Waiting+1) / c.WarmupRate * float64(time.Second)
+		rateWait = confidence * float64(load.Waiting+1) / c.WarmupRate * float64(time.Second)
+	}
+	if load.RateWait > choice.LoadAge {
+		rateWait = max(rateWait, float64(load.RateWait-choice.LoadAge))
 	}
 	estimate := func(slowdown float64) (time.Duration, float64) {
-		wait := math.Max(warmupWait, math.Max(0, queued-float64(load.Slots)+1)/float64(load.Slots)*float64(req.ServiceTime)*slowdown)
+		wait := math.Max(rateWait, math.Max(0, queued-float64(load.Slots)+1)/float64(load.Slots)*float64(req.ServiceTime)*slowdown)
 		miss, finish := EstimateCompletion(now, networkTime+time.Duration(wait), req.ServiceTime, slowdown, req.Objective, req.Deadline)
 		return finish, miss
 	}
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -15,14 +15,19 @@
 	reportedAt time.Time
 }
 
-// update applies the limit that a response states, and reports whether it begins or ends.
-func (l *rateLimit) update(info ResponseInfo, now time.Time) (changed bool) {
-	changed = info.RateLimited != l.limited
-	if changed {
+// applyRateLimit applies the rate limit that a response states. The caller holds mu.
+func (u *Upstream) applyRateLimit(info ResponseInfo, probe bool, now time.Time) {
+	l := &u.rateLimit
+	if info.RateLimited == l.limited && info.RateLimit == l.perSecond {
+		return
+	}
+	if info.RateLimited != l.limited {
 		l.sent, l.reportedAt = 0, now
+		u.g.log.Info().Str("upstream", u.instance.ID).Bool("limited", info.RateLimited).Float64("limit", info.RateLimit).
+			Bool("probe", probe).Msg("rate limit of the upstream changed")
 	}
 	l.limited, l.perSecond = info.RateLimited, info.RateLimit
-	return changed
+	u.g.admission.SetRateLimit(l.perSecond, l.limited)
 }
 
 // recordSent counts a request to an upstream that states a rate limit or that it leaves.
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -96,6 +96,7 @@
 	hb.Draining = hb.Draining || same && cur.Draining
 	if !same {
 		u.deregistered, u.leaving = false, false
+		u.applyRateLimit(ResponseInfo{}, false, time.Now())
 		u.g.upstreamPool.CloseIdle(cur.Addr)
 	}
 	changed := !same || hb.Draining != cur.Draining || hb.Slots != cur.Slots || hb.Addr != cur.Addr || u.down
@@ -221,9 +222,8 @@
 func (u *Upstream) recordResponse(info ResponseInfo, probe bool) {
 	u.mu.Lock()
 	now := time.Now()
-	if info.FromInstance && u.rateLimit.update(info, now) {
-		u.g.log.Info().Str("upstream", u.instance.ID).Bool("limited", info.RateLimited).Float64("limit", info.RateLimit).
-			Bool("probe", probe).Msg("rate limit of the upstream changed")
+	if info.FromInstance {
+		u.applyRateLimit(info, probe, now)
 	}
 	if info.FromInstance && info.Leaving && !u.leaving {
 		u.leaving = true
@@ -366,6 +366,7 @@
 		if previousID != info.UpstreamID {
 			u.instance.ID, u.instance.Seq, u.instance.Incarnation = info.UpstreamID, 0, 0
 			u.instance.Draining, u.deregistered, u.leaving = false, false, false
+			u.applyRateLimit(ResponseInfo{}, true, time.Now())
 		}
 		if u.instance.Slots == 0 {
 			u.instance.Slots = max(1, info.Slots)
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -121,18 +121,26 @@
 			flags |= 1 << i
 		}
 	}
-	return strings.Join([]string{
+	fields := []string{
 		strconv.Itoa(m.Load.Running) + "," + strconv.Itoa(m.Load.Waiting) + "," + strconv.Itoa(m.Load.Slots),
 		strconv.FormatFloat(m.Load.Slowdown, 'f', 2, 64), strconv.FormatFloat(m.Load.FailureRate, 'f', 2, 64),
 		strconv.Itoa(flags), formatMillis(m.ServiceTime), m.RejectReason, formatMillis(m.RetryAfter), m.Epoch,
-	}, ";")
+	}
+	if m.Load.RateWait > 0 {
+		fields = append(fields, formatMillis(m.Load.RateWait))
+	}
+	return strings.Join(fields, ";")
 }
 
+// responseFields is the number of fields of a response. The rate wait follows them when there
+// is one.
+const responseFields = 8
+
 // ParseResponseMeta parses the header value of a response.
 func ParseResponseMeta(text string) (ResponseMeta, error) {
 	fields := strings.Split(text, ";")
-	if len(fields) != 8 {
-		return ResponseMeta{}, errors.Newf("hop header of a response has %d fields, want 8", len(fields))
+	if len(fields) != responseFields && len(fields) != responseFields+1 {
+		return ResponseMeta{}, errors.Newf("hop header of a response has %d fields, want %d or %d", len(fields), responseFields, responseFields+1)
 	}
 	counts := strings.Split(fields[0], ",")
 	if len(counts) != 3 {
@@ -148,6 +156,9 @@
 		NotRun: flags&2 != 0, ExchangeFailed: flags&4 != 0,
 		ServiceTime: p.millis(fields[4]), RejectReason: fields[5], RetryAfter: p.millis(fields[6]), Epoch: fields[7],
 	}
+	if len(fields) > responseFields {
+		meta.Load.RateWait = max(0, p.millis(fields[responseFields]))
+	}
 	return meta, errors.Wrap(p.err, "parse hop header of a response")
 }
 
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -29,6 +29,10 @@
 	gotResponse, err := hop.ParseResponseMeta(response.Encode())
 	is.NoErr(err)
 	is.Equal(gotResponse, response)
+	response.Load.RateWait = 120 * time.Millisecond
+	gotResponse, err = hop.ParseResponseMeta(response.Encode())
+	is.NoErr(err)
+	is.Equal(gotResponse, response)
 }
 
 // Guards against a malformed header that is accepted: a value that parses must parse again
