Send no requests to an upstream that states in its responses that it leaves

Nodes closed an upstream after a heartbeat with the state draining or after a deregistration. An upstream that lost these calls, or states in its responses earlier that it is about to stop, kept getting requests. Such a statement now closes it until an instance with another identity or start time announces itself. A response counts only for the instance that made it: one of the former instance that arrives after a restart changes nothing.

TestNoWorkForUpstreamThatStatesItLeaves failed before (33 of 100 requests reached the leaving upstream) and passes.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -183,7 +183,7 @@
 		return g.handleExchangeError(ctx, req, hb, took, err)
 	}
 	info := codec.ParseResponse(resp.Status, resp.Header)
-	g.upstream.recordResponse(info, false)
+	g.upstream.recordResponse(hb, info, false)
 	normalized := time.Duration(float64(took) / slowdown)
 	res := result{meta: hop.ResponseMeta{ServiceTime: normalized, NotRun: info.NotRun, Epoch: g.epoch}, resp: resp}
 	switch {
--- a/gateway/ratelimit.go
+++ b/gateway/statements.go
@@ -15,6 +15,30 @@
 	reportedAt time.Time
 }
 
+// isCurrent reports whether the response to a request of the instance hb was made by the instance
+// that is running now. A health probe may reveal the identity. The caller holds mu.
+func (u *Upstream) isCurrent(hb *Heartbeat, info ResponseInfo) bool {
+	cur := &u.instance
+	return hb.ID == cur.ID && hb.Incarnation == cur.Incarnation || cur.Incarnation == 0 && cur.ID != "" && info.UpstreamID == cur.ID
+}
+
+// forgetResponses discards what the responses of an earlier instance stated. The caller holds mu.
+func (u *Upstream) forgetResponses(probe bool) {
+	u.leaving = false
+	u.applyRateLimit(ResponseInfo{}, probe, time.Now())
+}
+
+// applyLeaving applies the statement of an upstream that it is about to stop, and reports whether
+// it is new. It holds until the upstream has restarted. The caller holds mu.
+func (u *Upstream) applyLeaving(info ResponseInfo, probe bool) (changed bool) {
+	if !info.Leaving || u.leaving {
+		return false
+	}
+	u.leaving = true
+	u.g.log.Info().Str("upstream", u.instance.ID).Bool("probe", probe).Msg("upstream states that it leaves")
+	return true
+}
+
 // applyRateLimit applies the rate limit that a response states. The caller holds mu.
 func (u *Upstream) applyRateLimit(info ResponseInfo, probe bool, now time.Time) {
 	l := &u.rateLimit
--- a/gateway/ratelimit_test.go
+++ b/gateway/statements_test.go
@@ -51,3 +51,40 @@
 	is.True(limited.upstream.maxRunsWithin(limitSpan) <= allowedUnderLimit(4))
 	is.True(limited.upstream.maxRunsWithin(limitSpan) >= 8) // the limit is used
 }
+
+// Guards against requests to an upstream that says in its responses, and in no heartbeat, that
+// it is about to stop, and against one that gets none after its restart.
+func TestNoWorkForUpstreamThatStatesItLeaves(t *testing.T) {
+	for _, source := range []string{"response", "probe"} {
+		t.Run(source, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t)
+			entry, a, b := d.addNode("n1", "d2", "desk", 4), d.addNode("n2", "d1", "archive", 4), d.addNode("n3", "d2", "archive", 4)
+			d.waitReady(entry, a, b)
+			waitFor(t, 5*time.Second, "both upstreams known", func() bool { return len(entry.g.ServiceNodes("archive")) == 2 })
+			a.upstream.state("Test-Leaving", "1")
+			if source == "response" {
+				is.Equal(a.send("GET", "/read/1", "told", "").status, http.StatusOK)
+			} else {
+				time.Sleep(700 * time.Millisecond) // idle upstreams are probed every 0.5 s
+			}
+			before := a.upstream.totalRuns()
+			is.Equal(load(10*time.Millisecond, time.Second, entry, a, b), map[int]int{http.StatusOK: 100})
+			is.Equal(a.upstream.totalRuns(), before)
+			ready := a.heartbeat
+			ready.Seq = 2
+			a.announce(ready) // sent before the upstream began to leave
+			is.Equal(a.send("GET", "/read/1", "late", "").status, http.StatusOK)
+			is.Equal(a.upstream.totalRuns(), before)
+
+			a.upstream.state("Test-Leaving", "")
+			restarted := a.heartbeat
+			restarted.Incarnation, restarted.Seq = 2, 1
+			a.announce(restarted)
+			waitFor(t, 2*time.Second, "request to the restarted upstream", func() bool {
+				a.send("GET", "/read/1", "again", "")
+				return a.upstream.totalRuns() > before
+			})
+		})
+	}
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -95,10 +95,12 @@
 	u.earlier = Heartbeat{}
 	hb.Draining = hb.Draining || same && cur.Draining
 	if !same {
-		u.deregistered, u.leaving = false, false
-		u.applyRateLimit(ResponseInfo{}, false, time.Now())
+		u.deregistered = false
 		u.g.upstreamPool.CloseIdle(cur.Addr)
 	}
+	if !same || hb.Incarnation != cur.Incarnation {
+		u.forgetResponses(false)
+	}
 	changed := !same || hb.Draining != cur.Draining || hb.Slots != cur.Slots || hb.Addr != cur.Addr || u.down
 	u.instance, u.down = hb, false
 	u.coldUntil = time.Now().Add(hb.Warmup)
@@ -170,7 +172,7 @@
 	switch {
 	case u.down || u.instance.ID == "" || u.instance.Slots == 0:
 		return mulberrylink.UpstreamDown
-	case u.deregistered || u.instance.Draining:
+	case u.deregistered || u.instance.Draining || u.leaving:
 		return mulberrylink.UpstreamDraining
 	case now.Before(u.coldUntil):
 		return mulberrylink.UpstreamCold
@@ -217,25 +219,26 @@
 	return warmupRateShare * s.WarmupRate * g.cfg.Tuning.WarmupRateScale
 }
 
-// recordResponse applies the load, the warm-up time and the rate limit that a response
-// reports. probe is true for the response to a health probe.
-func (u *Upstream) recordResponse(info ResponseInfo, probe bool) {
+// recordResponse applies what a response to a request of an upstream instance reports: its load,
+// its warm-up time, its rate limit and whether it leaves. probe is true for the response to a
+// health probe.
+func (u *Upstream) recordResponse(hb *Heartbeat, info ResponseInfo, probe bool) {
 	u.mu.Lock()
 	now := time.Now()
-	if info.FromInstance {
+	publish := false
+	if info.FromInstance && u.isCurrent(hb, info) {
 		u.applyRateLimit(info, probe, now)
+		publish = u.applyLeaving(info, probe)
 	}
-	if info.FromInstance && info.Leaving && !u.leaving {
-		u.leaving = true
-		u.g.log.Info().Str("upstream", u.instance.ID).Bool("probe", probe).Msg("upstream states that it leaves")
-	}
-	publish := false
 	previous := u.slowdown
 	if info.Slowdown > 0 {
 		u.loadReportedAt, u.slowdown, u.reportsLoad = now, info.Slowdown, true
 	}
 	if info.WarmupKnown {
-		publish = (info.Warmup > 0) != now.Before(u.coldUntil)
+		if (info.Warmup > 0) != now.Before(u.coldUntil) {
+			publish = true
+			u.g.log.Info().Dur("warmup", info.Warmup).Msg("warm-up state of the upstream changed")
+		}
 		u.coldUntil = now.Add(info.Warmup)
 	}
 	slowdown := u.slowdown
@@ -247,7 +250,6 @@
 		}
 	}
 	if publish {
-		u.g.log.Info().Dur("warmup", info.Warmup).Msg("warm-up state of the upstream changed")
 		u.publish()
 	}
 }
@@ -345,7 +347,7 @@
 	defer resp.Close()
 	info := u.g.cfg.Headers.ParseResponse(resp.Status, resp.Header)
 	u.updateIdentity(&hb, resp.Status, info)
-	u.recordResponse(info, true)
+	u.recordResponse(&hb, info, true)
 }
 
 // updateIdentity applies the identity in the response to a health probe. A status other
@@ -365,8 +367,8 @@
 		u.down = false
 		if previousID != info.UpstreamID {
 			u.instance.ID, u.instance.Seq, u.instance.Incarnation = info.UpstreamID, 0, 0
-			u.instance.Draining, u.deregistered, u.leaving = false, false, false
-			u.applyRateLimit(ResponseInfo{}, true, time.Now())
+			u.instance.Draining, u.deregistered = false, false
+			u.forgetResponses(true)
 		}
 		if u.instance.Slots == 0 {
 			u.instance.Slots = max(1, info.Slots)
