Ask an upstream for its state before a restarted node admits requests

A node that restarts while its upstream runs on does not know what the upstream has stated to the process before: a rate limit, that it leaves, that it is cold. Until the first response it admitted requests up to the slots, 40 of 40 where a limit of 2 per second allowed 17 in 4 s, and 4 of 10 to an upstream that was leaving. A node now waits for the answer of a health probe, for at most 0.1 s, before it admits the first request for an instance that has not answered yet.

TestRestartedNodeKeepsStatedRateLimit and TestRestartedNodeKnowsThatItsUpstreamLeaves failed before, four of four times each, and pass.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -58,6 +58,7 @@
 	handler           http.HandlerFunc // writes the response instead of the default one
 	srv               *http.Server
 	stated            http.Header // added to all responses, also to health probes
+	probeDelay        time.Duration
 
 	mu         sync.Mutex
 	runs       map[string]int // runs by request identifier
@@ -75,6 +76,10 @@
 	}
 	u.mu.Unlock()
 	if r.URL.Path == "/health" {
+		u.mu.Lock()
+		delay := u.probeDelay
+		u.mu.Unlock()
+		time.Sleep(delay)
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		w.Header().Set("Test-Identity", u.id)
@@ -151,6 +156,12 @@
 	u.stated = next
 }
 
+func (u *fakeUpstream) setProbeDelay(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.probeDelay = d
+}
+
 // maxRunsWithin returns the largest number of runs that started within any time span.
 func (u *fakeUpstream) maxRunsWithin(span time.Duration) int {
 	u.mu.Lock()
@@ -247,6 +258,9 @@
 
 // node is a gateway with its upstream.
 type node struct {
+	name      string
+	domain    string
+	stop      func()
 	g         *gateway.Gateway
 	upstream  *fakeUpstream
 	outbound  string
@@ -276,18 +290,41 @@
 		d.t.Fatal(err)
 	}
 	go func() { _ = u.srv.Serve(lis) }()
-	n := &node{upstream: u, outbound: freeAddr(d.t)}
+	d.t.Cleanup(func() { _ = u.srv.Close() })
+	return d.startNode(name, domain, inbound, advertised, u, slots)
+}
+
+// restartNode starts a process of a node anew. Its upstream keeps running.
+func (d *deployment) restartNode(n *node) *node {
+	d.t.Helper()
+	n.stop()
+	restarted := d.startNode(n.name, n.domain, freeAddr(d.t), "", n.upstream, n.heartbeat.Slots)
+	waitFor(d.t, 2*time.Second, "listener", func() bool {
+		conn, err := net.Dial("tcp", restarted.outbound)
+		if err != nil {
+			return false
+		}
+		return conn.Close() == nil
+	})
+	return restarted
+}
+
+// startNode starts a node beside an upstream.
+func (d *deployment) startNode(name, domain, inbound, advertised string, u *fakeUpstream, slots int) *node {
+	d.t.Helper()
+	n := &node{name: name, domain: domain, upstream: u, outbound: freeAddr(d.t)}
 	n.g = gateway.New(gateway.Config{
 		Name: name, Domain: domain, OutboundAddr: n.outbound, InboundAddr: inbound, AdvertisedAddr: advertised, Seeds: []string{d.hubAddr},
-		Service: service, UpstreamAddr: u.addr, Headers: testHeaders{}, GracePeriod: 6 * time.Second,
+		Service: u.service, UpstreamAddr: u.addr, Headers: testHeaders{}, GracePeriod: 6 * time.Second,
 		DecodeTable: func(*document.State) (*routes.Table, error) { return d.table, nil },
 		Tuning:      gateway.Tuning{CrossDomainRTT: 4 * time.Millisecond, TransferCostPerKiB: 0.02, RetryPercent: 50, RetryRefillInterval: time.Second, MaxRetryTokens: 3, WarmupRateScale: 1, NonIdempotentValue: 2},
 		Log:         discardLogger(), Registry: metrics.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
 	go func() { _ = n.g.Serve(ctx) }()
-	d.t.Cleanup(func() { cancel(); _ = u.srv.Close() })
-	n.announce(gateway.Heartbeat{ID: u.id, Service: service, Addr: u.addr, Slots: slots, Seq: 1, Incarnation: 1})
+	d.t.Cleanup(cancel)
+	n.announce(gateway.Heartbeat{ID: u.id, Service: u.service, Addr: u.addr, Slots: slots, Seq: 1, Incarnation: 1})
 	return n
 }
 
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -24,7 +24,7 @@
 
 // forgetResponses discards what the responses of an earlier instance stated. The caller holds mu.
 func (u *Upstream) forgetResponses(probe bool) {
-	u.leaving = false
+	u.heard, u.leaving = false, false
 	u.applyRateLimit(ResponseInfo{}, probe, time.Now())
 }
 
--- a/gateway/statements_test.go
+++ b/gateway/statements_test.go
@@ -88,3 +88,42 @@
 		})
 	}
 }
+
+// sendAtOnce sends n requests to a node at the same time.
+func sendAtOnce(n int, to *node) {
+	var done sync.WaitGroup
+	for i := range n {
+		done.Go(func() { to.send("GET", "/read/1", fmt.Sprintf("once%d", i), "") })
+	}
+	done.Wait()
+}
+
+// Guards against a node that has restarted and sends requests to its upstream before it knows what
+// the upstream has stated to the process before.
+func TestRestartedNodeKeepsStatedRateLimit(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 40)
+	d.waitReady(n)
+	n.upstream.setProbeDelay(30 * time.Millisecond)
+	n.upstream.state("Test-Limit", "2")
+	is.Equal(n.send("GET", "/read/1", "told", "").status, http.StatusOK)
+	n.upstream.setHandler(func(http.ResponseWriter, *http.Request) { time.Sleep(200 * time.Millisecond) })
+	sendAtOnce(40, d.restartNode(n))
+	is.True(n.upstream.maxRunsWithin(limitSpan) <= allowedUnderLimit(2))
+}
+
+// Guards against a restarted node that sends requests to an upstream that states in its responses
+// that it leaves, because a heartbeat from before arrives late.
+func TestRestartedNodeKnowsThatItsUpstreamLeaves(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 4)
+	d.waitReady(n)
+	n.upstream.state("Test-Leaving", "1")
+	is.Equal(n.send("GET", "/read/1", "told", "").status, http.StatusOK)
+	before := n.upstream.totalRuns()
+	n.upstream.setProbeDelay(30 * time.Millisecond)
+	sendAtOnce(10, d.restartNode(n))
+	is.Equal(n.upstream.totalRuns(), before)
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -26,6 +26,9 @@
 	maxLoadAge = 35 * time.Millisecond
 	// refreshTimeout bounds the wait for a refreshed load report.
 	refreshTimeout = 20 * time.Millisecond
+	// firstReportTimeout is the same for the first response of an instance, without which the
+	// node does not know what the instance has stated to an earlier process of the node.
+	firstReportTimeout = 100 * time.Millisecond
 	// minProbeDelay is the minimum time between two checks of the age of the load report.
 	minProbeDelay = 5 * time.Millisecond
 	// warmupRateShare and warmupBurstShare are the shares of the rate and the burst of a
@@ -66,6 +69,7 @@
 	announced      mulberrylink.Node // the last record sent to the control hosts
 	reportsLoad    bool              // responses of the upstream contain its load
 	rateLimit      rateLimit
+	heard          bool          // the instance has sent a response to this process
 	leaving        bool          // the instance has stated in a response that it stops
 	refreshDone    chan struct{} // closed when the running refresh ends, nil without one
 	probeNow       chan struct{}
@@ -227,6 +231,7 @@
 	now := time.Now()
 	publish := false
 	if info.FromInstance && u.isCurrent(hb, info) {
+		u.heard = true
 		u.applyRateLimit(info, probe, now)
 		publish = u.applyLeaving(info, probe)
 	}
@@ -262,11 +267,15 @@
 	}
 }
 
-// refreshLoad probes the upstream when its load report is older than maxLoadAge.
-// Concurrent requests share one probe.
+// refreshLoad probes the upstream when it has not sent a response to this process yet, or when
+// its load report is older than maxLoadAge. Concurrent requests share one probe.
 func (u *Upstream) refreshLoad(ctx context.Context) {
 	u.mu.Lock()
-	if !u.reportsLoad || u.down || time.Since(u.loadReportedAt) < maxLoadAge {
+	timeout := refreshTimeout
+	if !u.heard {
+		timeout = firstReportTimeout
+	}
+	if u.down || u.heard && (!u.reportsLoad || time.Since(u.loadReportedAt) < maxLoadAge) {
 		u.mu.Unlock()
 		return
 	}
@@ -283,7 +292,7 @@
 		}()
 	}
 	u.mu.Unlock()
-	timer := time.NewTimer(refreshTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-done:
