Report interrupted requests at a planned stop only when there were any

A node that stopped logged "16 connections had requests in flight" 2.8 s after SIGTERM although none was: it counted connections that callers had not closed yet. TestCloseReportsInterruptedRequestsOnly failed before with "1 connections had requests in flight" for an idle connection.

--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -153,7 +153,8 @@
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 // Close closes the listener and idle connections, waits for requests in flight
-// until ctx ends, and then closes the remaining connections.
+// until ctx ends, and then closes the remaining connections. It returns an error when
+// that interrupts requests.
 func (s *Server) Close(ctx context.Context) error {
 	s.mu.Lock()
 	if s.closed {
@@ -184,10 +185,14 @@
 	s.mu.Lock()
 	conns = s.openConns()
 	s.mu.Unlock()
+	inFlight := s.InFlight()
 	for _, c := range conns {
 		c.abort()
 	}
-	return errors.CombineErrors(err, errors.Wrapf(ctx.Err(), "%d connections had requests in flight", len(conns)))
+	if inFlight == 0 {
+		return err // callers had not closed their side of these connections yet
+	}
+	return errors.CombineErrors(err, errors.Wrapf(ctx.Err(), "%d requests were in flight", inFlight))
 }
 
 // openConns returns the open connections. s.mu must be held.
--- a/transport/ingress/pipeline_test.go
+++ b/transport/ingress/pipeline_test.go
@@ -394,3 +394,34 @@
 	is.Equal(res.body, "abc")
 	is.NoErr(<-closed)
 }
+
+// Guards against a planned stop that reports interrupted requests because callers keep their side
+// of idle connections open, and against one that reports none when it interrupts requests.
+func TestCloseReportsInterruptedRequestsOnly(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{}, 1)
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "abc")
+	})
+	c, br := dial(t, addr)
+	_, err := io.WriteString(c, get("/"))
+	is.NoErr(err)
+	is.Equal(readResponse(t, br, "GET").body, "abc")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	is.NoErr(s.Close(ctx)) // c is idle, and the test keeps it open
+
+	s, addr = start(t, func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-r.Context().Done()
+	})
+	c, _ = dial(t, addr)
+	_, err = io.WriteString(c, get("/"))
+	is.NoErr(err)
+	<-started
+	ctx, cancel = context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	err = s.Close(ctx)
+	is.True(err != nil)
+	is.True(strings.HasPrefix(err.Error(), "1 requests were in flight"))
+}
