--- a/coordination/capacity/script_test.go
+++ b/coordination/capacity/script_test.go
@@ -123,6 +123,9 @@
 		s.enter(words[0], o)
 	case "leave":
 		for _, name := range words {
+			if s.requests[name].permit == nil {
+				s.t.Fatalf("line %d: %s is %s, want admitted", s.line, name, s.requests[name].state())
+			}
 			s.requests[name].permit.Release()
 		}
 	case "cancel":
