--- /dev/null
+++ b/gateway/cut_test.go
@@ -0,0 +1,94 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// writes sends non-idempotent requests to a node, one after the other, until stop is closed. It
+// returns their statuses by identifier.
+func writes(n *node, stop <-chan struct{}) map[string]int {
+	statuses := make(map[string]int)
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return statuses
+		default:
+		}
+		id := fmt.Sprintf("%s-%d", n.name, i)
+		statuses[id] = n.send("POST", "/write/1", id, "x").status
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a failure domain that stops serving its callers while it is cut off from the others
+// and from the control hosts, against requests that run twice or run after they were refused around
+// the cut, and against a domain that keeps its old configuration after the cut.
+func TestFailureDomainIsCutOffAndReturns(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	toNear, toFar, toHub := newRelay(t), newRelay(t), newRelay(t)
+	near := d.addNodeBehindRelay(toNear, "near", "d1", "archive", 4)
+	hubAddr := d.hubAddr
+	toHub.mu.Lock()
+	toHub.target = hubAddr
+	toHub.mu.Unlock()
+	d.hubAddr = toHub.lis.Addr().String()
+	far := d.addNodeBehindRelay(toFar, "far", "d2", "archive", 4)
+	d.hubAddr = hubAddr
+	nodes := []*node{near, far}
+	d.waitReady(nodes...)
+	waitFor(t, 5*time.Second, "both upstreams known", func() bool {
+		return len(near.g.ServiceNodes("archive")) >= 1 && len(far.g.ServiceNodes("archive")) >= 1
+	})
+
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	statuses := make([]map[string]int, len(nodes))
+	for i, n := range nodes {
+		clients.Go(func() { statuses[i] = writes(n, stop) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	for _, r := range []*relay{toNear, toFar, toHub} {
+		r.cut()
+	}
+	d.setDomainOut("d2", true) // far cannot know
+	time.Sleep(1500 * time.Millisecond)
+	served := far.upstream.totalRuns()
+	for _, n := range nodes {
+		is.Equal(n.send("GET", "/read/1", "during-"+n.name, "").status, http.StatusOK)
+	}
+	time.Sleep(time.Second)
+	is.True(far.upstream.totalRuns() > served+20) // far goes on with the configuration that it has
+	for _, r := range []*relay{toNear, toFar, toHub} {
+		r.heal()
+	}
+	// In force everywhere within 2 s.
+	time.Sleep(2 * time.Second)
+	served = far.upstream.totalRuns()
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	clients.Wait()
+	is.Equal(far.upstream.totalRuns(), served)
+	is.Equal(far.send("GET", "/read/1", "after", "").status, http.StatusOK) // runs on near
+
+	answered := 0
+	for i := range nodes {
+		for id, status := range statuses[i] {
+			runs := near.upstream.runsOf(id) + far.upstream.runsOf(id)
+			if runs > 1 || status == http.StatusServiceUnavailable && runs > 0 || status == http.StatusOK && runs == 0 {
+				t.Errorf("request %s ended with status %d and ran %d times", id, status, runs)
+			}
+			if status == http.StatusOK {
+				answered++
+			}
+		}
+	}
+	t.Logf("%d and %d requests, %d answered", len(statuses[0]), len(statuses[1]), answered)
+	is.True(answered >= (len(statuses[0])+len(statuses[1]))*9/10)
+}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -8,11 +8,13 @@
 )
 
 // relay is a TCP proxy to one target. After a call of blackhole it drops all bytes of the
-// connections that were open then; new connections work.
+// connections that were open then; new connections work. While it is cut, new ones get nothing
+// either.
 type relay struct {
 	lis    net.Listener
 	mu     sync.Mutex
 	target string
+	isCut  bool
 	drops  []chan struct{} // one for each open connection, closed by blackhole
 	gate   sync.RWMutex    // held by pause; connections forward nothing meanwhile
 }
@@ -39,8 +41,12 @@
 
 func (r *relay) forward(client net.Conn) {
 	r.mu.Lock()
-	target := r.target
+	target, isCut := r.target, r.isCut
 	r.mu.Unlock()
+	if isCut {
+		discard(client)
+		return
+	}
 	server, err := net.Dial("tcp", target)
 	if err != nil {
 		_ = client.Close()
@@ -103,3 +109,18 @@
 	r.gate.Lock()
 	time.AfterFunc(d, r.gate.Unlock)
 }
+
+// cut drops all bytes of open and new connections until heal is called.
+func (r *relay) cut() {
+	r.mu.Lock()
+	r.isCut = true
+	r.mu.Unlock()
+	r.blackhole()
+}
+
+// heal makes new connections work again.
+func (r *relay) heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isCut = false
+}
