Keep a stated rate limit when the first heartbeat completes an identity

A restarted node knows its upstream by a health probe until the first heartbeat with a start time arrives. That heartbeat counted as another instance: the limit ended, and all requests that waited under it were sent at once. The limit and the leaving state now hold, and the next response is asked for and decides.

TestFirstHeartbeatKeepsStatedRateLimit failed before, three of three, and passes.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -291,14 +291,24 @@
 	}
 	go func() { _ = u.srv.Serve(lis) }()
 	d.t.Cleanup(func() { _ = u.srv.Close() })
-	return d.startNode(name, domain, inbound, advertised, u, slots)
+	n := d.startNode(name, domain, inbound, advertised, u)
+	n.announce(gateway.Heartbeat{ID: u.id, Service: service, Addr: u.addr, Slots: slots, Seq: 1, Incarnation: 1})
+	return n
 }
 
-// restartNode starts a process of a node anew. Its upstream keeps running.
+// restartNode starts a process of a node anew, and repeats the last heartbeat of its upstream, which
+// keeps running.
 func (d *deployment) restartNode(n *node) *node {
+	d.t.Helper()
+	restarted := d.restartNodeWithoutHeartbeat(n)
+	restarted.announce(n.heartbeat)
+	return restarted
+}
+
+func (d *deployment) restartNodeWithoutHeartbeat(n *node) *node {
 	d.t.Helper()
 	n.stop()
-	restarted := d.startNode(n.name, n.domain, freeAddr(d.t), "", n.upstream, n.heartbeat.Slots)
+	restarted := d.startNode(n.name, n.domain, freeAddr(d.t), "", n.upstream)
 	waitFor(d.t, 2*time.Second, "listener", func() bool {
 		conn, err := net.Dial("tcp", restarted.outbound)
 		if err != nil {
@@ -310,7 +320,7 @@
 }
 
 // startNode starts a node beside an upstream.
-func (d *deployment) startNode(name, domain, inbound, advertised string, u *fakeUpstream, slots int) *node {
+func (d *deployment) startNode(name, domain, inbound, advertised string, u *fakeUpstream) *node {
 	d.t.Helper()
 	n := &node{name: name, domain: domain, upstream: u, outbound: freeAddr(d.t)}
 	n.g = gateway.New(gateway.Config{
@@ -324,7 +334,6 @@
 	n.stop = cancel
 	go func() { _ = n.g.Serve(ctx) }()
 	d.t.Cleanup(cancel)
-	n.announce(gateway.Heartbeat{ID: u.id, Service: u.service, Addr: u.addr, Slots: slots, Seq: 1, Incarnation: 1})
 	return n
 }
 
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -29,13 +29,14 @@
 }
 
 // applyLeaving applies the statement of an upstream that it is about to stop, and reports whether
-// it is new. It holds until the upstream has restarted. The caller holds mu.
+// that changes its state. The statement holds until the upstream has restarted. The caller holds mu.
 func (u *Upstream) applyLeaving(info ResponseInfo, probe bool) (changed bool) {
-	if !info.Leaving || u.leaving {
+	leaving := info.Leaving || u.heard && u.leaving
+	if leaving == u.leaving {
 		return false
 	}
-	u.leaving = true
-	u.g.log.Info().Str("upstream", u.instance.ID).Bool("probe", probe).Msg("upstream states that it leaves")
+	u.leaving = leaving
+	u.g.log.Info().Str("upstream", u.instance.ID).Bool("leaving", leaving).Bool("probe", probe).Msg("upstream states whether it leaves")
 	return true
 }
 
--- a/gateway/statements_test.go
+++ b/gateway/statements_test.go
@@ -127,3 +127,26 @@
 	sendAtOnce(10, d.restartNode(n))
 	is.Equal(n.upstream.totalRuns(), before)
 }
+
+// Guards against a first heartbeat after a restart of the node that ends the rate limit for the
+// requests that wait under it. The node knew the upstream by a health probe only.
+func TestFirstHeartbeatKeepsStatedRateLimit(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 40)
+	d.waitReady(n)
+	n.upstream.state("Test-Limit", "40")
+	restarted := d.restartNodeWithoutHeartbeat(n)
+	waitFor(t, 2*time.Second, "first response", func() bool {
+		return restarted.send("GET", "/read/1", "first", "").status == http.StatusOK
+	})
+	n.upstream.setHandler(func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
+	var clients sync.WaitGroup
+	clients.Go(func() { sendAtOnce(60, restarted) })
+	time.Sleep(100 * time.Millisecond)
+	before := n.upstream.totalRuns()
+	restarted.announce(n.heartbeat)
+	time.Sleep(50 * time.Millisecond)
+	is.True(n.upstream.totalRuns()-before <= 5) // 2 by the rate of 40 a second
+	clients.Wait()
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -102,8 +102,11 @@
 		u.deregistered = false
 		u.g.upstreamPool.CloseIdle(cur.Addr)
 	}
-	if !same || hb.Incarnation != cur.Incarnation {
+	switch {
+	case !same:
 		u.forgetResponses(false)
+	case hb.Incarnation != cur.Incarnation:
+		u.heard = false // an instance known by its identity only may have restarted since
 	}
 	changed := !same || hb.Draining != cur.Draining || hb.Slots != cur.Slots || hb.Addr != cur.Addr || u.down
 	u.instance, u.down = hb, false
@@ -231,9 +234,9 @@
 	now := time.Now()
 	publish := false
 	if info.FromInstance && u.isCurrent(hb, info) {
-		u.heard = true
 		u.applyRateLimit(info, probe, now)
 		publish = u.applyLeaving(info, probe)
+		u.heard = true
 	}
 	previous := u.slowdown
 	if info.Slowdown > 0 {
