mulberrynode: not ready before the server for callers listens

The admin server reported ready as soon as the configuration of a peer was active, which may be before the server for callers listens; the caller's connection was refused.

TestStopWaitsForUpload now names the response that ended the upload.

--- a/cmd/mulberrynode/admin.go
+++ b/cmd/mulberrynode/admin.go
@@ -160,11 +160,19 @@
 	_, _ = fmt.Fprintln(w, "ok")
 }
 
+// notListening is why a node is not ready while its server for callers does not listen yet.
+const notListening = "notlistening"
+
 // readiness reports whether callers may use this node, and whether it admits requests to its
 // upstream.
 func (a *adminServer) readiness(w http.ResponseWriter, _ *http.Request) {
-	reason := a.node.availability.entryRejectReason()
-	if reason != mulberrylink.ReasonNone {
+	reason := a.node.availability.entryRejectReason().String()
+	select {
+	case <-a.node.front.Ready():
+	default:
+		reason = notListening
+	}
+	if reason != mulberrylink.ReasonNone.String() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = fmt.Fprintf(w, "ready=false reason=%s\n", reason)
 		return
--- a/cmd/mulberrynode/config_test.go
+++ b/cmd/mulberrynode/config_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"testing"
@@ -244,3 +245,19 @@
 	is.Equal(u.rejectReason("s"), mulberrylink.ReasonNone)
 	is.Equal(u.rejectReason("other"), mulberrylink.ReasonNoUpstream)
 }
+
+// Guards against a node that is ready while callers cannot connect to it yet: the configuration may
+// arrive before the server for callers listens.
+func TestNotReadyBeforeCallersCanConnect(t *testing.T) {
+	is := is.New(t)
+	n := buildNode(t, newFakeGroup(), testSettings("a", "d1"), nil)
+	n.active.apply(1, []byte("x"), "test")
+	status := func() int {
+		w := httptest.NewRecorder()
+		n.admin.readiness(w, nil)
+		return w.Code
+	}
+	is.Equal(status(), http.StatusServiceUnavailable)
+	startBuiltNode(t, n)
+	is.Equal(status(), http.StatusOK)
+}
--- a/cmd/mulberrynode/node_test.go
+++ b/cmd/mulberrynode/node_test.go
@@ -131,6 +131,15 @@
 
 // startNodeWith is startNode with settings and an optional change of the dependencies.
 func startNodeWith(t testing.TB, g *fakeGroup, cfg *nodeSettings, change func(*dependencies)) *node {
+	t.Helper()
+	n := buildNode(t, g, cfg, change)
+	startBuiltNode(t, n)
+	n.active.apply(1, []byte("x"), "test")
+	return n
+}
+
+// buildNode returns a node whose servers don't listen yet, apart from the one for other nodes.
+func buildNode(t testing.TB, g *fakeGroup, cfg *nodeSettings, change func(*dependencies)) *node {
 	t.Helper()
 	lis, err := net.Listen("tcp", cfg.Listen.RPC)
 	if err != nil {
@@ -156,17 +165,20 @@
 	g.mu.Lock()
 	g.receivers = append(g.receivers, n.suspects.handleNote)
 	g.mu.Unlock()
+	return n
+}
+
+func startBuiltNode(t testing.TB, n *node) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	if err := n.start(ctx, make(chan error, 3)); err != nil {
 		t.Fatal(err)
 	}
-	n.active.apply(1, []byte("x"), "test")
 	t.Cleanup(func() {
 		cancel()
 		n.front.Close()
 		n.admin.http.Close()
 	})
-	return n
 }
 
 // announceUpstream starts an HTTP server and announces it to n as its upstream.
--- a/cmd/mulberrynode/process_test.go
+++ b/cmd/mulberrynode/process_test.go
@@ -169,13 +169,17 @@
 		}
 		defer resp.Body.Close()
 		data, err := io.ReadAll(resp.Body)
+		if resp.StatusCode != http.StatusOK {
+			response <- fmt.Sprint(resp.Status, " ", resp.Header.Get("Mulberry-Reason"), " ", string(data), " ", err)
+			return
+		}
 		response <- fmt.Sprint(string(data), " ", err)
 	}()
 	chunk := make([]byte, 1<<20)
 	start := time.Now()
 	for i := range 64 {
 		if _, err := pw.Write(chunk); err != nil {
-			t.Fatal(err)
+			t.Fatalf("upload ended after %d MiB: %v; response: %s", i, err, <-response)
 		}
 		if i == 5 || i == 15 {
 			is.NoErr(p.cmd.Process.Signal(syscall.SIGTERM))
