--- a/gateway/statements_test.go
+++ b/gateway/statements_test.go
@@ -121,7 +121,9 @@
 	n := d.addNode("n1", "d1", "archive", 4)
 	d.waitReady(n)
 	n.upstream.state("Test-Leaving", "1")
-	is.Equal(n.send("GET", "/read/1", "told", "").status, http.StatusOK)
+	waitFor(t, 2*time.Second, "the first process knows", func() bool {
+		return n.send("GET", "/read/1", "told", "").status == http.StatusServiceUnavailable
+	})
 	before := n.upstream.totalRuns()
 	n.upstream.setProbeDelay(30 * time.Millisecond)
 	sendAtOnce(10, d.restartNode(n))
