gateway: log which requests are in flight when an upstream ends

The entry node computes a fingerprint of method, host, target and body, and sends it to the admitting node with the request. The admitting node keeps a table of what its upstream runs; the line "upstream down" lists it (identifier, route, fingerprint, time since the start), with the time since the instance was first known and its remaining warm-up. No decision depends on it yet.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -177,11 +177,15 @@
 	// time.
 	slowdown := max(1, g.admission.Load().Slowdown)
 	g.upstream.recordSent(start)
+	run := &upstreamRun{requestID: id, route: req.meta.Route, fingerprint: req.meta.Fingerprint, startedAt: start}
+	g.runs.begin(run)
 	resp, err := g.upstreamPool.Do(ctx, call)
 	took := time.Since(start)
 	if err != nil {
+		g.runs.fail(run, time.Now())
 		return g.handleExchangeError(ctx, req, hb, took, err)
 	}
+	g.runs.trackResponse(run, resp)
 	info := codec.ParseResponse(resp.Status, resp.Header)
 	g.upstream.recordResponse(hb, info, false)
 	normalized := time.Duration(float64(took) / slowdown)
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -199,6 +199,7 @@
 	retryBudgets  *retry.Budgets
 	upstream      *Upstream
 	upstreamPool  *exchange.Pool
+	runs          *runTable
 	peerPool      *exchange.Pool
 	outcomes      *outcomeStore
 	peerEpochs    peerEpochs
@@ -214,7 +215,7 @@
 		configured: make(chan struct{}),
 		directory:  directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
-		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), stats: newStats(cfg.Registry),
+		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), stats: newStats(cfg.Registry),
 	}
 	g.retryBudgets = retry.New(retry.Config{
 		Clock: systemClock{}, Registry: cfg.Registry, Reserve: 1, RefillInterval: cfg.Tuning.RetryRefillInterval, MaxTokens: cfg.Tuning.MaxRetryTokens,
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -97,6 +97,7 @@
 		return
 	}
 	req.bodyReadAt = time.Now()
+	req.fingerprint = req.computeFingerprint()
 	req.serve(w)
 }
 
@@ -440,6 +441,7 @@
 		ExchangeID: fmt.Sprintf("%s-%s-%d", req.g.cfg.Name, req.g.epoch, req.g.exchangeSeq.Add(1)),
 		Service:    req.service, Route: req.route.Name, Kind: req.route.Kind, CallerService: req.g.upstream.current().Service,
 		Priority: req.route.Priority, Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
+		Fingerprint: req.fingerprint,
 	}
 	if s.slowerRejections < maxSlowerRejections {
 		meta.AlternativeCost = a.choice.AlternativeCost
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,8 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/transport/ingress"
@@ -31,6 +35,7 @@
 	serviceTime        time.Duration
 	serviceTimeAssumed bool                  // no request of the route has been observed yet
 	budgetRequest      *mulberrylink.Request // the request as the retry budget counts it
+	fingerprint        uint64                // set once the body has been read
 }
 
 func (g *Gateway) newRequest(active *activeConfig, route *routes.Route, r *http.Request, now time.Time) *request {
@@ -93,6 +98,18 @@
 	return err
 }
 
+// computeFingerprint returns the same value for all copies of a request that a caller sends
+// again. The part of a body that is not buffered counts by its length only.
+func (q *request) computeFingerprint() uint64 {
+	h := xxhash.New()
+	for _, s := range []string{q.httpReq.Method, strings.ToLower(q.httpReq.Host), q.httpReq.RequestURI, strconv.FormatInt(q.length, 10)} {
+		_, _ = h.WriteString(s) // a hash returns no errors
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(q.body)
+	return h.Sum64()
+}
+
 // replayable reports whether the body can be sent again.
 func (q *request) replayable() bool { return q.bodyRest == nil }
 
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -60,6 +60,7 @@
 
 	mu             sync.Mutex
 	instance       Heartbeat
+	instanceSince  time.Time // when the node first knew the instance
 	earlier        Heartbeat // last heartbeat of an instance with an earlier start time
 	deregistered   bool      // the instance has announced that it stops
 	down           bool      // nothing listens at its address
@@ -109,6 +110,9 @@
 		u.heard = false // an instance known by its identity only may have restarted since
 	}
 	changed := !same || hb.Draining != cur.Draining || hb.Slots != cur.Slots || hb.Addr != cur.Addr || u.down
+	if !same || u.down {
+		u.instanceSince = time.Now()
+	}
 	u.instance, u.down = hb, false
 	u.coldUntil = time.Now().Add(hb.Warmup)
 	u.mu.Unlock()
@@ -167,11 +171,20 @@
 	if wasUp {
 		u.down = true
 	}
+	now := time.Now()
+	known, warmup := now.Sub(u.instanceSince), u.coldUntil.Sub(now)
 	u.mu.Unlock()
-	if wasUp {
-		u.g.log.Warn().Str("upstream", id).Msg("upstream down: connection refused")
-		u.publish()
+	if !wasUp {
+		return
+	}
+	var inFlight []string
+	for _, r := range u.g.runs.takeAll(now) {
+		inFlight = append(inFlight, r.String())
 	}
+	u.g.stats.count("upstream_down")
+	u.g.log.Warn().Str("upstream", id).Dur("known", known).Dur("warmup", max(0, warmup)).Strs("inflight", inFlight).
+		Msg("upstream down: connection refused")
+	u.publish()
 }
 
 // state returns the state of the upstream for the node record. The caller holds mu.
@@ -376,7 +389,7 @@
 	changed := u.down || u.instance.ID != info.UpstreamID
 	if changed {
 		previousID := u.instance.ID
-		u.down = false
+		u.down, u.instanceSince = false, time.Now()
 		if previousID != info.UpstreamID {
 			u.instance.ID, u.instance.Seq, u.instance.Incarnation = info.UpstreamID, 0, 0
 			u.instance.Draining, u.deregistered = false, false
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -48,9 +48,12 @@
 	ServiceTimeAssumed bool
 	// AlternativeCost is the expected cost at the best other upstream, 0 without one.
 	AlternativeCost float64
+	// Fingerprint is equal for all copies of a request that a caller sends again, under
+	// whichever identifier.
+	Fingerprint uint64
 }
 
-const requestFields = 9
+const requestFields = 10
 
 // assumedMark follows a service time that is assumed instead of observed.
 const assumedMark = "?"
@@ -65,7 +68,7 @@
 	for _, s := range []string{
 		m.ExchangeID, m.Service, m.Route, strconv.Itoa(int(m.Kind)), m.CallerService, strconv.Itoa(m.Priority),
 		formatMillis(m.Objective) + "," + formatMillis(m.Timeout), serviceTime,
-		strconv.FormatFloat(m.AlternativeCost, 'f', 3, 64),
+		strconv.FormatFloat(m.AlternativeCost, 'f', 3, 64), strconv.FormatUint(m.Fingerprint, 16),
 	} {
 		if b.Len() > 0 {
 			b.WriteByte(';')
@@ -90,6 +93,7 @@
 		ExchangeID: fields[0], Service: fields[1], Route: fields[2], Kind: routes.Kind(p.int(fields[3])), CallerService: fields[4],
 		Priority: p.int(fields[5]), Objective: p.millis(objective), Timeout: p.millis(timeout),
 		ServiceTime: p.millis(serviceTime), ServiceTimeAssumed: assumed, AlternativeCost: p.float(fields[8]),
+		Fingerprint: p.hex(fields[9]),
 	}
 	return meta, errors.Wrap(p.err, "parse hop header of a request")
 }
@@ -173,6 +177,14 @@
 	return n
 }
 
+func (p *fieldParser) hex(s string) uint64 {
+	n, err := strconv.ParseUint(s, 16, 64)
+	if err != nil && p.err == nil {
+		p.err = err
+	}
+	return n
+}
+
 func (p *fieldParser) float(s string) float64 {
 	x, err := strconv.ParseFloat(s, 64)
 	if err != nil && p.err == nil {
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -18,6 +18,7 @@
 	request := hop.RequestMeta{
 		ExchangeID: "n1-5-7", Service: "archive", Route: "r1", Kind: routes.Upload, CallerService: "registry", Priority: 2,
 		Objective: 180 * time.Millisecond, Timeout: time.Second, ServiceTime: 60 * time.Millisecond, ServiceTimeAssumed: true, AlternativeCost: 0.25,
+		Fingerprint: 0xfedcba9876543210,
 	}
 	gotRequest, err := hop.ParseRequestMeta(request.Encode())
 	is.NoErr(err)
