gateway: refuse requests that crash the upstreams that run them

What callers saw: services that were gone for seconds, again and again.

Cause: nodes of package gateway have no memory of what was in flight when an upstream crashed. cmd/mulberrynode has one (coordination/suspect); the newer data path was built without it. Each copy that callers sent was a new request, and the second attempt of the entry node took the next upstream within milliseconds.

Change: requests in flight at a crash become suspects. A suspect goes to one node of its service, which runs one suspect at a time; when its upstream crashes too, all nodes refuse the request with 503 crasher, not run. A completed run clears it. Records travel with the request, with its response and through protocol/feed, whose hubs also give them to a node before its first configuration. A failed exchange is followed by a probe before it is answered, so that a crash is known before any caller hears of it.

The test fleet's hub got a list of suspects, as control hosts have one, and the tests wait for restarted upstreams with a counter in place of a wait group that was used again too early; checks and bounds are the same.

--- a/cmd/mulberrynode/suspects.go
+++ b/cmd/mulberrynode/suspects.go
@@ -44,7 +44,7 @@
 func (s *crashSuspects) broadcast(service string, notices []suspect.Notice) {
 	for _, n := range notices {
 		data, err := codec.Marshal(suspectNote{
-			Fingerprint: n.Fingerprint, Stage: n.Stage, RemainingMillis: time.Until(n.Until).Milliseconds(),
+			Fingerprint: n.Fingerprint, Stage: n.Stage, RemainingMillis: n.RemainingMillis(time.Now()),
 		})
 		if err != nil {
 			s.log.Error().Err(err).Msg("failed to encode crash suspect; not broadcasting it")
--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -28,6 +28,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
 	"github.com/mulberrylink/mulberrylink/coordination/quorum"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
 	"github.com/mulberrylink/mulberrylink/state/storage"
@@ -74,6 +75,7 @@
 type Host struct {
 	cfg        Config
 	nodes      *directory.Directory
+	suspects   *suspect.List
 	hub        *feed.Hub
 	rpc        *rpc.Server
 	pool       *rpc.Pool
@@ -85,6 +87,12 @@
 	wg         sync.WaitGroup
 }
 
+// systemClock implements suspect.Clock.
+type systemClock struct{}
+
+// Now implements suspect.Clock.
+func (systemClock) Now() time.Time { return time.Now() }
+
 // replica is a replica of the log under one identity. A host that was removed from the group opens
 // another replica with a new identity.
 type replica struct {
@@ -95,7 +103,7 @@
 
 // Open opens the data directory. With Config.Bootstrap, a seed formats it with the first group.
 func Open(cfg Config) (*Host, error) {
-	h := &Host{cfg: cfg, nodes: directory.New()}
+	h := &Host{cfg: cfg, nodes: directory.New(), suspects: suspect.New(suspect.Config{Clock: systemClock{}})}
 	h.pool = rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout})
 	if err := h.formatDataDir(); err != nil {
 		return nil, err
@@ -104,7 +112,7 @@
 		return nil, err
 	}
 	h.hub = feed.NewHub(feed.HubConfig{
-		Directory: h.nodes, State: h.state, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
+		Directory: h.nodes, Suspects: h.suspects, State: h.state, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	h.rpc = rpc.NewServer(func(err error) { cfg.Log.Debug().Err(err).Msg("connection lost") })
 	for _, method := range []func() (string, rpc.Handler){h.stepMethod, h.hubMethod, h.joinMethod} {
--- a/coordination/selection/picker.go
+++ b/coordination/selection/picker.go
@@ -82,7 +82,7 @@
 		if !n.Usable() || slices.Contains(tried, n.Name) {
 			continue
 		}
-		if score := rendezvous(r.Fingerprint, n.Name); best.Name == "" || score > bestScore {
+		if score := Rendezvous(r.Fingerprint, n.Name); best.Name == "" || score > bestScore {
 			best, bestScore = n, score
 		}
 	}
--- a/coordination/selection/subset.go
+++ b/coordination/selection/subset.go
@@ -10,8 +10,8 @@
 	"github.com/mulberrylink/mulberrylink"
 )
 
-// rendezvous returns the rendezvous hash of a node for the given seed.
-func rendezvous(seed uint64, node string) uint64 {
+// Rendezvous returns the rendezvous hash of a node for the given seed.
+func Rendezvous(seed uint64, node string) uint64 {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], seed)
 	var d xxhash.Digest
@@ -41,7 +41,7 @@
 		if n.Name == self {
 			return ^uint64(0)
 		}
-		return rendezvous(seed, n.Name)
+		return Rendezvous(seed, n.Name)
 	})
 	order := rankDomains(ranked, seed, domain)
 	out := make([]mulberrylink.Node, 0, size)
@@ -81,7 +81,7 @@
 		if d == ownDomain {
 			return ^uint64(0)
 		}
-		return rendezvous(seed, d)
+		return Rendezvous(seed, d)
 	}
 	slices.SortFunc(order, func(a, b string) int {
 		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
--- a/coordination/suspect/list.go
+++ b/coordination/suspect/list.go
@@ -41,6 +41,12 @@
 	Until time.Time
 }
 
+// RemainingMillis returns the time until Until for the wire, rounded up, because of two values of
+// one record the earlier counts.
+func (n Notice) RemainingMillis(now time.Time) int64 {
+	return max(1, (n.Until.Sub(now) + time.Millisecond - 1).Milliseconds())
+}
+
 // Clock tells the time.
 type Clock interface{ Now() time.Time }
 
@@ -52,6 +58,14 @@
 	DefaultMaxRecords = 4096
 )
 
+const (
+	// completionPeriod is half of the longest time for which a completion counts. A release may
+	// change whether a request crashes its upstream, so it must be short.
+	completionPeriod = time.Second
+	// maxCompletions bounds the completions that are kept for one period.
+	maxCompletions = 4096
+)
+
 // Config holds the settings of a List. Zero values select the defaults.
 type Config struct {
 	Clock Clock
@@ -70,8 +84,29 @@
 type List struct {
 	cfg Config
 
-	mu      sync.Mutex
-	records map[uint64]Notice
+	mu       sync.Mutex
+	records  map[uint64]record
+	revision uint64
+	changed  chan struct{} // closed and replaced at each new revision
+	// completed and completedBefore hold the fingerprints that completed on this process in the
+	// current period of completionPeriod and in the one before.
+	completed, completedBefore map[uint64]struct{}
+	periodEnd                  time.Time
+}
+
+// record is a notice with the peer that sent it, empty for this process, and the revision of the
+// list that it was stored under.
+type record struct {
+	Notice
+	source   string
+	revision uint64
+}
+
+// Change is a record that was added or whose stage rose.
+type Change struct {
+	Notice
+	// Source is the peer that sent the notice, empty if this process made it.
+	Source string
 }
 
 // New returns an empty list.
@@ -80,7 +115,7 @@
 	cfg.RefuseFor = cmp.Or(cfg.RefuseFor, DefaultRefuseFor)
 	cfg.RefuseMax = cmp.Or(cfg.RefuseMax, DefaultRefuseMax)
 	cfg.MaxRecords = cmp.Or(cfg.MaxRecords, DefaultMaxRecords)
-	return &List{cfg: cfg, records: make(map[uint64]Notice)}
+	return &List{cfg: cfg, records: make(map[uint64]record), changed: make(chan struct{}), completed: make(map[uint64]struct{})}
 }
 
 // Verdict says how a request with the fingerprint may run now.
@@ -112,6 +147,31 @@
 	return out
 }
 
+// RecordCrashBesideOthers is RecordCrash for nodes that run a suspect beside requests that are no
+// suspects, but never two suspects at a time. A fingerprint that is the only suspect among those in
+// flight becomes a crasher. Fingerprints that completed a short time ago do not become suspects:
+// a popular request is in flight at every crash.
+func (l *List) RecordCrashBesideOthers(fingerprints []uint64) []Notice {
+	var known, others []uint64
+	for _, fingerprint := range fingerprints {
+		switch {
+		case l.completedRecently(fingerprint):
+		case l.Verdict(fingerprint) == Alone:
+			known = append(known, fingerprint)
+		default:
+			others = append(others, fingerprint)
+		}
+	}
+	if len(slices.Compact(slices.Sorted(slices.Values(known)))) != 1 {
+		return l.RecordCrash(append(known, others...))
+	}
+	out := l.ConfirmCrasher(known[0])
+	if len(others) > 0 {
+		out = append(out, l.RecordCrash(others)...)
+	}
+	return out
+}
+
 // ConfirmCrasher records that one request crashed two upstreams, which its entry node sees
 // when both attempts of a hedged request end that way.
 func (l *List) ConfirmCrasher(fingerprint uint64) []Notice {
@@ -133,18 +193,48 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Now()
+	l.startPeriod(now)
+	if len(l.completed) < maxCompletions {
+		l.completed[fingerprint] = struct{}{}
+	}
 	if l.verdict(fingerprint, now) != Alone {
 		return nil
 	}
-	n := l.records[fingerprint]
+	n := l.records[fingerprint].Notice
 	n.Stage = roundOf(n.Stage)*stagesPerRound + stageCleared
 	n.Until = now.Add(l.cfg.SuspectFor)
 	return []Notice{l.store(n, now)}
 }
 
-// Merge adds a notice from another node and reports whether it raised the stage of the
+// completedRecently reports whether a request with the fingerprint completed within the last one or
+// two periods.
+func (l *List) completedRecently(fingerprint uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startPeriod(l.cfg.Clock.Now())
+	_, current := l.completed[fingerprint]
+	_, before := l.completedBefore[fingerprint]
+	return current || before
+}
+
+// startPeriod starts a new period of completions if the current one has ended. The caller holds mu.
+func (l *List) startPeriod(now time.Time) {
+	if now.Before(l.periodEnd) {
+		return
+	}
+	l.completedBefore, l.completed = l.completed, make(map[uint64]struct{})
+	if now.Sub(l.periodEnd) >= completionPeriod {
+		l.completedBefore = nil // nothing completed in the period before
+	}
+	l.periodEnd = now.Add(completionPeriod)
+}
+
+// Merge is MergeFrom for a notice whose sender does not matter.
+func (l *List) Merge(n Notice) bool { return l.MergeFrom("", n) }
+
+// MergeFrom adds a notice from another node and reports whether it raised the stage of the
 // record or added one. Merging is commutative and idempotent.
-func (l *List) Merge(n Notice) bool {
+func (l *List) MergeFrom(source string, n Notice) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Now()
@@ -159,11 +249,12 @@
 		// Every hop rounds the remaining time up, so the earliest value is the most
 		// exact one. With the latest value, records would never expire.
 		if n.Until.Before(old.Until) {
-			l.records[n.Fingerprint] = n
+			old.Notice = n
+			l.records[n.Fingerprint] = old
 		}
 		return false
 	}
-	l.store(n, now)
+	l.storeFrom(source, n, now)
 	return true
 }
 
@@ -174,16 +265,43 @@
 	now := l.cfg.Clock.Now()
 	out := make([]Notice, 0, len(l.records))
 	for _, n := range l.records {
-		if !l.expired(n, now) {
-			out = append(out, n)
+		if !l.expired(n.Notice, now) {
+			out = append(out, n.Notice)
 		}
 	}
 	slices.SortFunc(out, compareForEviction)
 	return out
 }
 
+// Get returns the record of a fingerprint, if it has one that has not expired.
+func (l *List) Get(fingerprint uint64) (Notice, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, found := l.records[fingerprint]
+	return r.Notice, found && !l.expired(r.Notice, l.cfg.Clock.Now())
+}
+
+// ChangedSince returns the changes after the given revision, the current revision, and a channel
+// that is closed at the next change.
+func (l *List) ChangedSince(revision uint64) (changes []Change, current uint64, next <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision >= l.revision {
+		return nil, l.revision, l.changed
+	}
+	now := l.cfg.Clock.Now()
+	for _, r := range l.records {
+		if r.revision > revision && !l.expired(r.Notice, now) {
+			changes = append(changes, Change{Notice: r.Notice, Source: r.source})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return compareForEviction(a.Notice, b.Notice) })
+	return changes, l.revision, l.changed
+}
+
 func (l *List) verdict(fingerprint uint64, now time.Time) Verdict {
-	n, found := l.records[fingerprint]
+	r, found := l.records[fingerprint]
+	n := r.Notice
 	if !found || l.expired(n, now) {
 		return Normal
 	}
@@ -202,7 +320,8 @@
 
 // asSuspect returns the record of a fingerprint after a crash with other requests in flight.
 func (l *List) asSuspect(fingerprint uint64, now time.Time) Notice {
-	n, found := l.records[fingerprint]
+	r, found := l.records[fingerprint]
+	n := r.Notice
 	if !found || l.expired(n, now) {
 		return Notice{Fingerprint: fingerprint, Until: now.Add(l.cfg.SuspectFor)}
 	}
@@ -218,16 +337,17 @@
 
 // asCrasher returns the record of a fingerprint that is now known to crash upstreams.
 func (l *List) asCrasher(fingerprint uint64, now time.Time) Notice {
-	n, found := l.records[fingerprint]
+	r, found := l.records[fingerprint]
+	n := r.Notice
 	if !found || l.expired(n, now) {
 		n = Notice{Fingerprint: fingerprint}
 	}
-	r := roundOf(n.Stage)
+	round := roundOf(n.Stage)
 	if n.Stage%stagesPerRound != stageSuspect {
-		r++
+		round++
 	}
-	n.Stage = r*stagesPerRound + stageCrasher
-	n.Until = now.Add(l.refuseFor(r))
+	n.Stage = round*stagesPerRound + stageCrasher
+	n.Until = now.Add(l.refuseFor(round))
 	return n
 }
 
@@ -258,8 +378,13 @@
 	return min(d, l.cfg.RefuseMax)
 }
 
-func (l *List) store(n Notice, now time.Time) Notice {
-	l.records[n.Fingerprint] = n
+func (l *List) store(n Notice, now time.Time) Notice { return l.storeFrom("", n, now) }
+
+func (l *List) storeFrom(source string, n Notice, now time.Time) Notice {
+	l.revision++
+	l.records[n.Fingerprint] = record{Notice: n, source: source, revision: l.revision}
+	close(l.changed)
+	l.changed = make(chan struct{})
 	if len(l.records) > l.cfg.MaxRecords {
 		l.evict(now)
 	}
@@ -270,7 +395,8 @@
 // until the list has its maximum size.
 func (l *List) evict(now time.Time) {
 	live := make([]Notice, 0, len(l.records))
-	for fingerprint, n := range l.records {
+	for fingerprint, r := range l.records {
+		n := r.Notice
 		if l.expired(n, now) {
 			delete(l.records, fingerprint)
 			continue
--- a/coordination/suspect/list_test.go
+++ b/coordination/suspect/list_test.go
@@ -205,3 +205,53 @@
 	is.Equal(l.Verdict(crasher), suspect.Refuse)
 	is.Equal(len(l.ConfirmCrasher(crasher)), 0)
 }
+
+// Guards against a suspect that is not recognized as the cause because harmless requests ran beside
+// it, and against harmless requests that are refused with it.
+func TestOnlySuspectInFlightIsTheCause(t *testing.T) {
+	is := is.New(t)
+	l := newList(&clock{now: time.Unix(1000, 0)})
+	l.RecordCrashBesideOthers([]uint64{crasher, 2, 3})
+	is.Equal(l.Verdict(crasher), suspect.Alone)
+	l.RecordCrashBesideOthers([]uint64{crasher, 3})
+	is.Equal(l.Verdict(crasher), suspect.Alone) // either may be the cause
+	l.RecordCompletion(3, true)
+	l.RecordCrashBesideOthers([]uint64{4, crasher, 5, crasher})
+	is.Equal(l.Verdict(crasher), suspect.Refuse)
+	is.Equal(l.Verdict(3), suspect.Normal)
+	is.Equal(l.Verdict(4), suspect.Alone)
+}
+
+// Guards against a popular request that becomes a suspect at each crash, and against a completion
+// that counts for longer than two periods.
+func TestRecentCompletionIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	c := &clock{now: time.Unix(1000, 0)}
+	l := newList(c)
+	l.RecordCompletion(7, true)
+	c.now = c.now.Add(900 * time.Millisecond)
+	l.RecordCrashBesideOthers([]uint64{7, 8})
+	is.Equal(l.Verdict(7), suspect.Normal)
+	is.Equal(l.Verdict(8), suspect.Alone)
+	c.now = c.now.Add(2 * time.Second)
+	l.RecordCrashBesideOthers([]uint64{7})
+	is.Equal(l.Verdict(7), suspect.Alone)
+}
+
+// Guards against a subscriber that misses a change or is sent the same one again.
+func TestChangesAreSentOnce(t *testing.T) {
+	is := is.New(t)
+	c := &clock{now: time.Unix(1000, 0)}
+	l := newList(c)
+	l.RecordCrash([]uint64{1, 2})
+	changes, revision, next := l.ChangedSince(0)
+	is.Equal(len(changes), 2)
+	changes, _, _ = l.ChangedSince(revision)
+	is.Equal(len(changes), 0)
+	n, _ := l.Get(2)
+	n.Stage++
+	is.True(l.MergeFrom("peer", n))
+	<-next
+	changes, _, _ = l.ChangedSince(revision)
+	is.Equal(changes, []suspect.Change{{Notice: n, Source: "peer"}})
+}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -37,6 +37,10 @@
 	reasonUpstreamDown = "down"
 	reasonBarred       = "barred" // the entry node has already been told that the exchange doesn't run
 	reasonNoConfig     = "noconfig"
+	// reasonSuspect is given to a request that has become a suspect while it was queued, and
+	// reasonSuspectBusy to a suspect that cannot get its turn in time.
+	reasonSuspect     = "suspect"
+	reasonSuspectBusy = "suspectbusy"
 )
 
 // upstreamRequest is a request on the admitting node.
@@ -50,6 +54,8 @@
 	length    int64
 	objective time.Time
 	deadline  time.Time
+	// hasSuspectTurn is true while the request is the one suspect that may run.
+	hasSuspectTurn bool
 }
 
 // result is the result of one attempt at one upstream.
@@ -81,6 +87,10 @@
 		req.meta.ServiceTime = g.serviceTimes.MeanOr(req.meta.Route, req.meta.ServiceTime)
 	}
 	enqueuedAt := time.Now()
+	endTurn, rejected := g.awaitSuspectTurn(ctx, req)
+	if rejected != nil {
+		return *rejected
+	}
 	permit, rejection := g.admission.Acquire(ctx, &capacity.Request{
 		ServiceTime: req.meta.ServiceTime, Priority: req.meta.Priority, Objective: req.objective, Deadline: req.deadline, AlternativeCost: req.meta.AlternativeCost,
 	})
@@ -91,18 +101,20 @@
 			Int("running", load.Running).Int("waiting", load.Waiting).Int("limit", load.Slots).Float64("factor", load.Slowdown).
 			Float64("failing", load.FailureRate).Float64("elsewhere", req.meta.AlternativeCost).Dur("work", req.meta.ServiceTime).
 			Dur("objective", time.Until(req.objective)).Msg("not admitted")
+		endTurn()
 		return g.reject(rejection.Reason.String(), rejection.RetryAfter)
 	}
 	res := g.runAdmitted(ctx, req, enqueuedAt)
+	release := func() { permit.Release(); endTurn() }
 	if res.resp == nil || res.resp.Rest == nil {
-		permit.Release()
+		release()
 		return res
 	}
 	// The upstream is occupied until it has sent the whole response. An attempt that is
 	// given up ends with its context.
-	stop := context.AfterFunc(ctx, permit.Release)
+	stop := context.AfterFunc(ctx, release)
 	res.resp.Rest = &trackedBody{
-		ReadCloser: res.resp.Rest, onClose: func() { stop(); permit.Release() },
+		ReadCloser: res.resp.Rest, onClose: func() { stop(); release() },
 		onError: func(err error) {
 			if ctx.Err() == nil {
 				g.recordUpstreamFailure(req, &hb, time.Since(enqueuedAt), err)
@@ -151,6 +163,9 @@
 	if active := g.active.Load(); active != nil && active.state.IsDomainOut(g.cfg.Domain) {
 		return g.reject(capacity.Closed.String(), 0)
 	}
+	if rejected := g.checkSuspicion(req); rejected != nil {
+		return *rejected
+	}
 	return g.exchange(ctx, req, &hb, start)
 }
 
@@ -177,7 +192,7 @@
 	// time.
 	slowdown := max(1, g.admission.Load().Slowdown)
 	g.upstream.recordSent(start)
-	run := &upstreamRun{requestID: id, route: req.meta.Route, fingerprint: req.meta.Fingerprint, startedAt: start}
+	run := &upstreamRun{requestID: id, upstreamID: hb.ID, route: req.meta.Route, fingerprint: req.meta.Fingerprint, startedAt: start}
 	g.runs.begin(run)
 	resp, err := g.upstreamPool.Do(ctx, call)
 	took := time.Since(start)
@@ -185,8 +200,8 @@
 		g.runs.fail(run, time.Now())
 		return g.handleExchangeError(ctx, req, hb, took, err)
 	}
-	g.runs.trackResponse(run, resp)
 	info := codec.ParseResponse(resp.Status, resp.Header)
+	g.runs.trackResponse(run, resp, func() { g.recordCompletion(run, info) })
 	g.upstream.recordResponse(hb, info, false)
 	normalized := time.Duration(float64(took) / slowdown)
 	res := result{meta: hop.ResponseMeta{ServiceTime: normalized, NotRun: info.NotRun, Epoch: g.epoch}, resp: resp}
@@ -232,6 +247,9 @@
 	}
 	// A caller that disconnects early tells nothing about the upstream. One that
 	// waited until its deadline does.
+	if ctx.Err() == nil {
+		g.upstream.checkForCrash(ctx, hb.ID, time.Now())
+	}
 	if ctx.Err() == nil || !time.Now().Before(req.deadline.Add(-entryDeadlineSlack)) {
 		g.recordUpstreamFailure(req, hb, took, err)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -89,6 +89,10 @@
 		return false
 	}
 	all, nodes := s.candidates()
+	all, ok := s.restrictSuspect(kind, all)
+	if !ok {
+		return false
+	}
 	choice, ok := g.balancer.Choose(now, &placement.Request{
 		ServiceTime: req.serviceTime, Objective: req.objective, Deadline: req.deadline, Exclude: s.excluded, SizeKiB: req.sizeKiB(), Value: req.value(),
 		Reroutable: s.slowerRejections < maxSlowerRejections,
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -28,10 +28,10 @@
 	t       *testing.T
 	d       *deployment
 	crashes atomic.Int64
+	down    atomic.Int64 // upstreams that have crashed and are not back
 
 	mu    sync.Mutex
 	nodes []*node
-	wg    sync.WaitGroup
 }
 
 func newCrashFleet(t *testing.T, size int) *crashFleet {
@@ -46,7 +46,7 @@
 		waitFor(t, 5*time.Second, "all nodes known", func() bool { return len(n.g.ServiceNodes("archive")) >= size-1 })
 	}
 	f.d.waitReady(f.nodes...)
-	t.Cleanup(f.wg.Wait)
+	t.Cleanup(f.waitUp)
 	return f
 }
 
@@ -64,10 +64,12 @@
 			return
 		}
 		if crashing.CompareAndSwap(false, true) {
-			f.wg.Go(func() {
+			f.down.Add(1)
+			go func() {
+				defer f.down.Add(-1)
 				f.crash(i)
 				crashing.Store(false)
-			})
+			}()
 		}
 		panic(http.ErrAbortHandler)
 	}
@@ -103,10 +105,14 @@
 		})
 	}
 	wg.Wait()
-	f.wg.Wait()
+	f.waitUp()
 	return responses
 }
 
+func (f *crashFleet) waitUp() {
+	waitFor(f.t, 5*time.Second, "all upstreams back", func() bool { return f.down.Load() == 0 })
+}
+
 // sendHarmless sends requests of other callers until ctx ends.
 func (f *crashFleet) sendHarmless(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -179,7 +185,7 @@
 	is := is.New(t)
 	f := newCrashFleet(t, 5)
 	ctx, cancel := context.WithCancel(context.Background())
-	var served, lost, wg = atomic.Int64{}, atomic.Int64{}, sync.WaitGroup{}
+	served, lost, wg := atomic.Int64{}, atomic.Int64{}, sync.WaitGroup{}
 	for i := range 5 {
 		wg.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -18,6 +18,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/gateway"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
 	"github.com/mulberrylink/mulberrylink/transport/rpc"
@@ -197,6 +198,11 @@
 	table   *routes.Table
 }
 
+// systemClock implements suspect.Clock.
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
 func discardLogger() *log.Logger { return &log.Logger{Level: log.FatalLevel} }
 
 func freeAddr(t *testing.T) string {
@@ -234,7 +240,7 @@
 		route("read", "/read/", routes.Safe), route("write", "/write/", routes.Unsafe), route("put", "/put/", routes.Upload),
 	}, []routes.Service{{Name: "archive", HealthPath: "/health"}, {Name: "desk", HealthPath: "/health"}}, routes.Limits{MaxBodyBytes: 64 << 20})
 	hub := feed.NewHub(feed.HubConfig{
-		Directory: directory.New(), State: d.machine.Current, HasLeader: func() bool { return true },
+		Directory: directory.New(), Suspects: suspect.New(suspect.Config{Clock: systemClock{}}), State: d.machine.Current, HasLeader: func() bool { return true },
 		Hosts: func() []feed.Host { return nil }, Log: discardLogger(),
 	})
 	s := rpc.NewServer(nil)
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -11,6 +11,11 @@
 // request is sent to another upstream only after such a rejection, or after the
 // upstream itself has reported that it did not run the request.
 //
+// When an upstream crashes, the requests that it was running become suspects (coordination/suspect).
+// A suspect is sent to one node of the service only, which runs one suspect at a time. When its
+// upstream crashes too, the suspect is refused everywhere; when the suspect completes, it is
+// cleared. Nodes tell each other with the request, its response, and through protocol/feed.
+//
 // # Usage
 //
 //	g := gateway.New(gateway.Config{Name: "node-7", Domain: "d1", …})
@@ -38,6 +43,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/retry"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/coordination/servicetime"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
 	"github.com/mulberrylink/mulberrylink/transport/exchange"
 	"github.com/mulberrylink/mulberrylink/transport/ingress"
@@ -200,6 +206,8 @@
 	upstream      *Upstream
 	upstreamPool  *exchange.Pool
 	runs          *runTable
+	suspects      *suspect.List
+	suspectTurns  *turnQueue
 	peerPool      *exchange.Pool
 	outcomes      *outcomeStore
 	peerEpochs    peerEpochs
@@ -215,7 +223,7 @@
 		configured: make(chan struct{}),
 		directory:  directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
-		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), stats: newStats(cfg.Registry),
+		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), suspectTurns: newTurnQueue(), stats: newStats(cfg.Registry),
 	}
 	g.retryBudgets = retry.New(retry.Config{
 		Clock: systemClock{}, Registry: cfg.Registry, Reserve: 1, RefillInterval: cfg.Tuning.RetryRefillInterval, MaxTokens: cfg.Tuning.MaxRetryTokens,
@@ -229,7 +237,7 @@
 	g.peerPool = exchange.NewPool(exchange.Config{DialTimeout: dialTimeout, MaxIdlePerAddr: peerMaxIdleConns, IdleTimeout: peerIdleTimeout, BufferBytes: maxBufferedResponse, MaxUndelimitedBytes: maxUndelimitedResponse})
 	g.feed = feed.NewClient(feed.ClientConfig{
 		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout}), Seeds: cfg.Seeds,
-		Directory: g.directory, OnState: g.applyState, NodeName: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
+		Directory: g.directory, Suspects: g.suspects, OnState: g.applyState, NodeName: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	g.upstream = newUpstream(g)
 	g.outbound = ingress.New(ingress.Config{Addr: cfg.OutboundAddr, Handler: g.serveCaller, Log: cfg.Log})
@@ -237,10 +245,10 @@
 	return g
 }
 
-// systemClock implements retry.Clock.
+// systemClock implements retry.Clock and suspect.Clock.
 type systemClock struct{}
 
-// Now implements retry.Clock.
+// Now implements retry.Clock and suspect.Clock.
 func (systemClock) Now() time.Time { return time.Now() }
 
 // Upstream returns the upstream beside the node. It is given the upstream's heartbeats.
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -254,11 +254,17 @@
 	case res.meta.RejectReason != "":
 		s.rejectReason, s.retryAfter = res.meta.RejectReason, earliestRetryAfter(s.retryAfter, res.meta.RetryAfter)
 		s.attempts--
-		if res.meta.RejectReason == reasonSlower {
+		switch res.meta.RejectReason {
+		case reasonSlower:
 			s.slowerRejections++ // its reported load keeps it from being chosen again, unless all upstreams are slow
-		} else {
+		case reasonSuspect: // may be chosen again, as the node of this suspect
+		default:
 			s.excluded[a.node.Name] = true
 		}
+		if endsRequest(res.meta.RejectReason) {
+			s.retryAfter = res.meta.RetryAfter
+			return len(s.running) == 0 && s.respondFailure()
+		}
 		if res.meta.RejectReason == reasonWarming {
 			s.warmingRejections++
 		}
@@ -377,6 +383,7 @@
 	if res.meta.Epoch != "" && !a.local {
 		g.peerEpochs.set(a.node.Name, res.meta.Epoch)
 	}
+	g.mergeSuspicion(s.req.fingerprint, res.meta.Suspicion)
 	if res.meta.Epoch != "" {
 		g.balancer.RecordLoad(a.node.Name, res.meta.Load, now)
 	}
@@ -441,7 +448,7 @@
 		ExchangeID: fmt.Sprintf("%s-%s-%d", req.g.cfg.Name, req.g.epoch, req.g.exchangeSeq.Add(1)),
 		Service:    req.service, Route: req.route.Name, Kind: req.route.Kind, CallerService: req.g.upstream.current().Service,
 		Priority: req.route.Priority, Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
-		Fingerprint: req.fingerprint,
+		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint),
 	}
 	if s.slowerRejections < maxSlowerRejections {
 		meta.AlternativeCost = a.choice.AlternativeCost
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -46,6 +46,7 @@
 			return
 		}
 	}
+	g.mergeSuspicion(meta.Fingerprint, meta.Suspicion)
 	req := &upstreamRequest{
 		meta: meta, method: r.Method, target: r.RequestURI, host: r.Host,
 		header: ingress.EndToEndHeaders(r.Header), length: r.ContentLength,
@@ -63,6 +64,7 @@
 		stop = g.sendInterim(w)
 	}
 	res := g.admit(r.Context(), req)
+	res.meta.Suspicion = g.suspicion(meta.Fingerprint)
 	stop()
 	if rec != nil {
 		resp := res.resp
--- a/gateway/runs.go
+++ b/gateway/runs.go
@@ -20,6 +20,7 @@
 // upstreamRun is a request that was sent to the upstream beside the node.
 type upstreamRun struct {
 	requestID   string
+	upstreamID  string
 	route       string
 	fingerprint uint64
 	startedAt   time.Time
@@ -60,16 +61,18 @@
 	r.failedAt = now
 }
 
-// takeAll empties the table and returns the runs, the earliest first.
-func (t *runTable) takeAll(now time.Time) []*upstreamRun {
+// takeAll removes the runs of an upstream instance and returns them, the earliest first.
+func (t *runTable) takeAll(upstreamID string, now time.Time) []*upstreamRun {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	runs := make([]*upstreamRun, 0, len(t.runs))
 	for r := range t.runs {
-		runs = append(runs, r)
+		if r.upstreamID == upstreamID {
+			runs = append(runs, r)
+			delete(t.runs, r)
+		}
 	}
-	clear(t.runs)
 	slices.SortFunc(runs, func(a, b *upstreamRun) int {
 		return cmp.Or(a.startedAt.Compare(b.startedAt), cmp.Compare(a.requestID, b.requestID))
 	})
@@ -85,21 +88,24 @@
 	}
 }
 
-// trackResponse ends a run with its response, which may still be arriving.
-func (t *runTable) trackResponse(r *upstreamRun, resp *exchange.Response) {
+// trackResponse ends a run with its response, which may still be arriving. onComplete is called
+// once the whole response has arrived.
+func (t *runTable) trackResponse(r *upstreamRun, resp *exchange.Response, onComplete func()) {
 	if resp.Rest == nil {
 		t.complete(r)
+		onComplete()
 		return
 	}
-	resp.Rest = &runBody{ReadCloser: resp.Rest, table: t, run: r}
+	resp.Rest = &runBody{ReadCloser: resp.Rest, table: t, run: r, onComplete: onComplete}
 }
 
 // runBody ends a run with the body of its response.
 type runBody struct {
 	io.ReadCloser
-	table    *runTable
-	run      *upstreamRun
-	complete bool
+	table      *runTable
+	run        *upstreamRun
+	onComplete func()
+	complete   bool
 }
 
 // Read implements io.Reader.
@@ -115,6 +121,7 @@
 func (b *runBody) Close() error {
 	if b.complete {
 		b.table.complete(b.run)
+		b.onComplete()
 	} else {
 		b.table.fail(b.run, time.Now())
 	}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -73,6 +73,7 @@
 	heard          bool          // the instance has sent a response to this process
 	leaving        bool          // the instance has stated in a response that it stops
 	refreshDone    chan struct{} // closed when the running refresh ends, nil without one
+	crashCheck     crashCheck
 	probeNow       chan struct{}
 }
 
@@ -173,17 +174,16 @@
 	}
 	now := time.Now()
 	known, warmup := now.Sub(u.instanceSince), u.coldUntil.Sub(now)
+	planned := u.deregistered || u.instance.Draining || u.leaving
 	u.mu.Unlock()
 	if !wasUp {
 		return
 	}
-	var inFlight []string
-	for _, r := range u.g.runs.takeAll(now) {
-		inFlight = append(inFlight, r.String())
-	}
 	u.g.stats.count("upstream_down")
-	u.g.log.Warn().Str("upstream", id).Dur("known", known).Dur("warmup", max(0, warmup)).Strs("inflight", inFlight).
-		Msg("upstream down: connection refused")
+	u.g.log.Warn().Str("upstream", id).Dur("known", known).Dur("warmup", max(0, warmup)).Msg("upstream down: connection refused")
+	if !planned {
+		u.g.recordCrash(id, now)
+	}
 	u.publish()
 }
 
--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -16,6 +16,7 @@
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/state/codec"
 )
 
@@ -43,6 +44,9 @@
 	SeedsOnly bool
 	// Directory stores the records that the hubs send.
 	Directory *directory.Directory
+	// Suspects holds the records of crash suspects. A node also sends its records to the hub. It
+	// may be nil.
+	Suspects *suspect.List
 	// OnState is called with each newer committed state. It may be nil.
 	OnState func(*document.State)
 	// Domain is the failure domain of the subscriber. Control hosts in this domain are preferred.
@@ -236,7 +240,7 @@
 	if err := stream.MsgSend(first, codec.Encoding{}); err != nil {
 		return err
 	}
-	go c.sendHeartbeats(ctx, stream, sentRecord)
+	go c.sendHeartbeats(ctx, stream, addr, sentRecord)
 	for {
 		var m hubMessage
 		if err := stream.MsgRecv(&m, codec.Encoding{}); err != nil {
@@ -267,9 +271,13 @@
 	return c.self
 }
 
-// sendHeartbeats sends the node's own record when it changes, and an empty message every
-// heartbeatInterval otherwise.
-func (c *Client) sendHeartbeats(ctx context.Context, stream drpc.Stream, sentRecord *mulberrylink.Node) {
+// sendHeartbeats sends the node's own record and the records of crash suspects when they change,
+// and an empty message every heartbeatInterval otherwise.
+func (c *Client) sendHeartbeats(ctx context.Context, stream drpc.Stream, addr string, sentRecord *mulberrylink.Node) {
+	suspects := suspectCursor{list: c.cfg.Suspects}
+	if c.cfg.HostName != "" {
+		suspects.list = nil // control hosts receive them from the hubs of each other
+	}
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -277,12 +285,14 @@
 		if n := c.selfRecord(); n != sentRecord {
 			m.Node, sentRecord = n, n
 		}
+		suspectsChanged := suspects.next(&m.Suspects, func(source string) bool { return source != addr })
 		if err := stream.MsgSend(&m, codec.Encoding{}); err != nil {
 			return
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-suspectsChanged:
 		case <-c.selfChanged:
 		case <-ticker.C:
 		}
@@ -297,6 +307,7 @@
 			c.cfg.Directory.Put(n, addr, now)
 		}
 	}
+	mergeSuspects(c.cfg.Suspects, addr, m.Suspects)
 	c.mu.Lock()
 	if len(m.Hosts) > 0 && !c.cfg.SeedsOnly {
 		c.hosts = m.Hosts
--- a/protocol/feed/doc.go
+++ b/protocol/feed/doc.go
@@ -1,7 +1,8 @@
 // Package feed distributes node records and the configuration. A node subscribes to the hub of one
 // control host and sends its own record. The hub sends it the records of all other nodes, the
-// committed document, the failure domains that are out of service, and the addresses of the control
-// hosts. Each control host also subscribes to the hubs of all others, so that each knows every node.
+// committed document, the failure domains that are out of service, the addresses of the control
+// hosts, and the records of crash suspects (coordination/suspect), which nodes also send to the hub.
+// A subscriber has the records that the hub holds before the first document. Each control host also subscribes to the hubs of all others, so that each knows every node.
 // A hub sends a control host only the records of the nodes that subscribe to this hub. It does not
 // send it the document, which control hosts have from the replicated log. Packages gateway and
 // controlhost use the feed; cmd/mulberrynode and cmd/mulberrycontrol use protocol/controlplane
@@ -87,6 +88,8 @@
 	// message.
 	Version  uint64 `cbor:"v,omitempty"`
 	Revision uint64 `cbor:"s,omitempty"`
+	// Suspects are the records of crash suspects that changed and that the hub has not sent.
+	Suspects []suspectNotice `cbor:"c,omitempty"`
 }
 
 // hubMessage is a message from a hub to a subscriber.
@@ -108,4 +111,14 @@
 	// StoredIncarnation, if set, is the incarnation of the stored record of the subscriber. The
 	// subscriber's own record must exceed it to be stored.
 	StoredIncarnation uint64 `cbor:"r,omitempty"`
+	// Suspects are the records of crash suspects that changed.
+	Suspects []suspectNotice `cbor:"c,omitempty"`
+}
+
+// suspectNotice is the wire format of a suspect.Notice. It carries the remaining time instead of a
+// point in time, because the clocks of hosts differ.
+type suspectNotice struct {
+	Fingerprint     uint64 `cbor:"p"`
+	Stage           uint32 `cbor:"s"`
+	RemainingMillis int64  `cbor:"l"`
 }
--- a/protocol/feed/feed_test.go
+++ b/protocol/feed/feed_test.go
@@ -14,6 +14,7 @@
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/internal/testclock"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
 	"github.com/mulberrylink/mulberrylink/transport/rpc"
@@ -23,6 +24,7 @@
 type host struct {
 	addr     string
 	nodes    *directory.Directory
+	suspects *suspect.List
 	machine  *document.Machine
 	noLeader atomic.Bool
 	hosts    []feed.Host
@@ -34,9 +36,9 @@
 
 func newHost(t *testing.T) *host {
 	t.Helper()
-	h := &host{nodes: directory.New(), machine: document.NewMachine()}
+	h := &host{nodes: directory.New(), suspects: newSuspects(), machine: document.NewMachine()}
 	hub := feed.NewHub(feed.HubConfig{
-		Directory: h.nodes, State: h.machine.Current, HasLeader: func() bool { return !h.noLeader.Load() },
+		Directory: h.nodes, Suspects: h.suspects, State: h.machine.Current, HasLeader: func() bool { return !h.noLeader.Load() },
 		Hosts: func() []feed.Host { return h.hosts }, Now: h.clock.Now, Log: discardLogger(),
 	})
 	s := rpc.NewServer(nil)
@@ -81,12 +83,19 @@
 		OnState: func(s *document.State) { f.state.Store(s) }, Now: f.clock.Now, Log: discardLogger(),
 	})
 	f.client.Announce(mulberrylink.Node{Name: name, Service: "archive", Incarnation: 1, State: mulberrylink.NodeReady})
+	f.stop = run(t, f.client)
+	return f
+}
+
+// run runs a client until stop is called or the test ends.
+func run(t *testing.T, c *feed.Client) (stop func()) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { defer close(done); f.client.Run(ctx) }()
-	f.stop = func() { cancel(); <-done }
-	t.Cleanup(f.stop)
-	return f
+	go func() { defer close(done); c.Run(ctx) }()
+	stop = func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return stop
 }
 
 func (f *follower) version() uint64 {
--- a/protocol/feed/hub.go
+++ b/protocol/feed/hub.go
@@ -14,6 +14,7 @@
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/state/codec"
 )
 
@@ -28,6 +29,8 @@
 type HubConfig struct {
 	// Directory holds the node records that the hub receives and sends.
 	Directory *directory.Directory
+	// Suspects holds the records of crash suspects that the hub receives and sends. It may be nil.
+	Suspects *suspect.List
 	// State returns the committed state and a channel that is closed when the state changes.
 	State func() (*document.State, <-chan struct{})
 	// HasLeader reports whether this control host knows a leader or is the leader.
@@ -80,7 +83,8 @@
 	directoryRevision uint64      // of the records sent last
 	version           uint64      // of the subscriber's document
 	stateRevision     uint64      // of the subscriber's state
-	hosts             []Host      // sent last
+	suspects          suspectCursor
+	hosts             []Host // sent last
 }
 
 func (h *Hub) serve(stream drpc.Stream) error {
@@ -91,7 +95,7 @@
 	s := &session{
 		hub: h, stream: stream, hostName: first.HostName, storedIncarnation: make(chan uint64, 1),
 		source:  fmt.Sprintf("%s%d", sessionPrefix, h.lastSession.Add(1)),
-		version: first.Version, stateRevision: first.Revision,
+		version: first.Version, stateRevision: first.Revision, suspects: suspectCursor{list: h.cfg.Suspects},
 	}
 	s.markHeard()
 	s.storeFirstRecord(first.Node)
@@ -106,6 +110,7 @@
 			}
 			s.markHeard()
 			s.storeRecord(m.Node)
+			mergeSuspects(h.cfg.Suspects, s.source, m.Suspects)
 		}
 	}()
 	err := s.sendUpdates(ctx)
@@ -171,6 +176,9 @@
 		nodesChanged := s.addNodes(&m)
 		stateChanged := s.addDocument(&m)
 		s.addHostInfo(&m)
+		suspectsChanged := s.suspects.next(&m.Suspects, func(source string) bool {
+			return source != s.source && (s.hostName == "" || isSession(source))
+		})
 		if err := s.stream.MsgSend(&m, codec.Encoding{}); err != nil {
 			return err
 		}
@@ -185,6 +193,7 @@
 		case <-nodesChanged:
 			time.Sleep(batchDelay)
 		case <-stateChanged:
+		case <-suspectsChanged: // sent at once, because the next copy of a crashing request may be on its way
 		case <-heartbeat.C:
 		}
 		if s.hub.cfg.Now().Sub(*s.lastHeard.Load()) > silenceTimeout {
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -51,6 +51,20 @@
 	// Fingerprint is equal for all copies of a request that a caller sends again, under
 	// whichever identifier.
 	Fingerprint uint64
+	// Suspicion is what the entry node knows of the fingerprint.
+	Suspicion Suspicion
+}
+
+// Suspicion is the record that a node has of the fingerprint of a request, see package suspect.
+type Suspicion struct {
+	Stage uint32
+	// Remaining is the time until the record changes, 0 without a record. It is sent in
+	// milliseconds.
+	Remaining time.Duration
+}
+
+func (s Suspicion) encode() string {
+	return strconv.FormatUint(uint64(s.Stage), 10) + "," + formatMillis(s.Remaining)
 }
 
 const requestFields = 10
@@ -68,7 +82,7 @@
 	for _, s := range []string{
 		m.ExchangeID, m.Service, m.Route, strconv.Itoa(int(m.Kind)), m.CallerService, strconv.Itoa(m.Priority),
 		formatMillis(m.Objective) + "," + formatMillis(m.Timeout), serviceTime,
-		strconv.FormatFloat(m.AlternativeCost, 'f', 3, 64), strconv.FormatUint(m.Fingerprint, 16),
+		strconv.FormatFloat(m.AlternativeCost, 'f', 3, 64), encodeFingerprint(m.Fingerprint, m.Suspicion),
 	} {
 		if b.Len() > 0 {
 			b.WriteByte(';')
@@ -78,6 +92,15 @@
 	return b.String()
 }
 
+// encodeFingerprint encodes a fingerprint, and the record of it if there is one.
+func encodeFingerprint(fingerprint uint64, s Suspicion) string {
+	text := strconv.FormatUint(fingerprint, 16)
+	if s.Remaining > 0 {
+		text += "," + s.encode()
+	}
+	return text
+}
+
 func formatMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
 
 // ParseRequestMeta parses the header value of a request.
@@ -93,8 +116,8 @@
 		ExchangeID: fields[0], Service: fields[1], Route: fields[2], Kind: routes.Kind(p.int(fields[3])), CallerService: fields[4],
 		Priority: p.int(fields[5]), Objective: p.millis(objective), Timeout: p.millis(timeout),
 		ServiceTime: p.millis(serviceTime), ServiceTimeAssumed: assumed, AlternativeCost: p.float(fields[8]),
-		Fingerprint: p.hex(fields[9]),
 	}
+	meta.Fingerprint, meta.Suspicion = p.fingerprint(fields[9])
 	return meta, errors.Wrap(p.err, "parse hop header of a request")
 }
 
@@ -115,6 +138,8 @@
 	// Epoch identifies the process of the admitting node, which holds the outcomes of its
 	// recent exchanges.
 	Epoch string
+	// Suspicion is what the admitting node knows of the fingerprint of the request.
+	Suspicion Suspicion
 }
 
 // Encode returns the header value of a response.
@@ -130,21 +155,27 @@
 		strconv.FormatFloat(m.Load.Slowdown, 'f', 2, 64), strconv.FormatFloat(m.Load.FailureRate, 'f', 2, 64),
 		strconv.Itoa(flags), formatMillis(m.ServiceTime), m.RejectReason, formatMillis(m.RetryAfter), m.Epoch,
 	}
-	if m.Load.RateWait > 0 {
+	if m.Load.RateWait > 0 || m.Suspicion.Remaining > 0 {
 		fields = append(fields, formatMillis(m.Load.RateWait))
 	}
+	if m.Suspicion.Remaining > 0 {
+		fields = append(fields, m.Suspicion.encode())
+	}
 	return strings.Join(fields, ";")
 }
 
-// responseFields is the number of fields of a response. The rate wait follows them when there
-// is one.
-const responseFields = 8
+// responseFields is the number of fields of a response. The rate wait and the suspicion follow
+// them when there are any.
+const (
+	responseFields    = 8
+	maxResponseFields = responseFields + 2
+)
 
 // ParseResponseMeta parses the header value of a response.
 func ParseResponseMeta(text string) (ResponseMeta, error) {
 	fields := strings.Split(text, ";")
-	if len(fields) != responseFields && len(fields) != responseFields+1 {
-		return ResponseMeta{}, errors.Newf("hop header of a response has %d fields, want %d or %d", len(fields), responseFields, responseFields+1)
+	if len(fields) < responseFields || len(fields) > maxResponseFields {
+		return ResponseMeta{}, errors.Newf("hop header of a response has %d fields, want %d to %d", len(fields), responseFields, maxResponseFields)
 	}
 	counts := strings.Split(fields[0], ",")
 	if len(counts) != 3 {
@@ -163,6 +194,9 @@
 	if len(fields) > responseFields {
 		meta.Load.RateWait = max(0, p.millis(fields[responseFields]))
 	}
+	if len(fields) == maxResponseFields {
+		meta.Suspicion = p.suspicion(fields[maxResponseFields-1])
+	}
 	return meta, errors.Wrap(p.err, "parse hop header of a response")
 }
 
@@ -185,6 +219,24 @@
 	return n
 }
 
+// fingerprint parses a fingerprint and the record that may follow it.
+func (p *fieldParser) fingerprint(s string) (uint64, Suspicion) {
+	text, record, found := strings.Cut(s, ",")
+	if !found {
+		return p.hex(text), Suspicion{}
+	}
+	return p.hex(text), p.suspicion(record)
+}
+
+func (p *fieldParser) suspicion(s string) Suspicion {
+	stage, remaining, _ := strings.Cut(s, ",")
+	n, err := strconv.ParseUint(stage, 10, 32)
+	if err != nil && p.err == nil {
+		p.err = err
+	}
+	return Suspicion{Stage: uint32(n), Remaining: max(0, p.millis(remaining))}
+}
+
 func (p *fieldParser) float(s string) float64 {
 	x, err := strconv.ParseFloat(s, 64)
 	if err != nil && p.err == nil {
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -18,7 +18,7 @@
 	request := hop.RequestMeta{
 		ExchangeID: "n1-5-7", Service: "archive", Route: "r1", Kind: routes.Upload, CallerService: "registry", Priority: 2,
 		Objective: 180 * time.Millisecond, Timeout: time.Second, ServiceTime: 60 * time.Millisecond, ServiceTimeAssumed: true, AlternativeCost: 0.25,
-		Fingerprint: 0xfedcba9876543210,
+		Fingerprint: 0xfedcba9876543210, Suspicion: hop.Suspicion{Stage: 4, Remaining: time.Minute},
 	}
 	gotRequest, err := hop.ParseRequestMeta(request.Encode())
 	is.NoErr(err)
@@ -30,6 +30,10 @@
 	gotResponse, err := hop.ParseResponseMeta(response.Encode())
 	is.NoErr(err)
 	is.Equal(gotResponse, response)
+	response.Suspicion = hop.Suspicion{Stage: 1, Remaining: 10 * time.Second}
+	gotResponse, err = hop.ParseResponseMeta(response.Encode())
+	is.NoErr(err)
+	is.Equal(gotResponse, response)
 	response.Load.RateWait = 120 * time.Millisecond
 	gotResponse, err = hop.ParseResponseMeta(response.Encode())
 	is.NoErr(err)
