platform, gateway: refuse heartbeats that another sender wrote

Cause: a heartbeat was checked for missing fields and types only.

An identity that was accepted before the first configuration is discarded with it.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -345,7 +345,9 @@
 
 func (n *node) announce(hb gateway.Heartbeat) {
 	n.heartbeat = hb
-	n.g.Upstream().HandleHeartbeat(hb)
+	if err := n.g.Upstream().HandleHeartbeat(hb); err != nil {
+		panic(err)
+	}
 }
 
 // waitReady waits until requests to each of the nodes reach an upstream of archive.
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -316,6 +316,7 @@
 		oldVersion = old.state.Version
 	} else {
 		close(g.configured)
+		g.upstream.forgetUnknownService()
 		g.upstream.requestProbe() // the path of the probes is a part of the configuration
 	}
 	g.log.Info().Uint64("version", s.Version).Uint64("before", oldVersion).Strs("out", s.DomainsOut).Msg("configuration in force")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -164,7 +164,7 @@
 	before := a.upstream.totalRuns()
 	stale := a.heartbeat
 	stale.Seq, stale.Draining = 1, false
-	a.g.Upstream().HandleHeartbeat(stale) // a stale heartbeat that arrives after a newer one
+	is.NoErr(a.g.Upstream().HandleHeartbeat(stale)) // a stale heartbeat that arrives after a newer one
 	for i := range 10 {
 		is.Equal(a.send("GET", "/read/1", fmt.Sprintf("r%d", i), "").status, http.StatusOK)
 	}
@@ -278,7 +278,7 @@
 	n.announce(next)
 	stale := n.heartbeat
 	stale.ID, stale.Incarnation, stale.Seq, stale.Draining = "i-n1", 1, 9, true
-	n.g.Upstream().HandleHeartbeat(stale)
+	is.NoErr(n.g.Upstream().HandleHeartbeat(stale))
 	is.Equal(n.send("GET", "/read/1", "a", "").status, http.StatusOK)
 	is.Equal(n.upstream.header().Get("Test-For"), "i-new")
 }
@@ -296,16 +296,16 @@
 	n.announce(hb)
 	delayed := hb
 	delayed.Incarnation, delayed.Seq, delayed.Draining = 4000, 7, true
-	n.g.Upstream().HandleHeartbeat(delayed) // of a former process, between two of the current one
+	is.NoErr(n.g.Upstream().HandleHeartbeat(delayed)) // of a former process, between two of the current one
 	hb.Seq = 21
-	n.g.Upstream().HandleHeartbeat(hb)
+	is.NoErr(n.g.Upstream().HandleHeartbeat(hb))
 	delayed.Seq = 8
-	n.g.Upstream().HandleHeartbeat(delayed)
+	is.NoErr(n.g.Upstream().HandleHeartbeat(delayed))
 	is.Equal(n.send("GET", "/read/1", "a", "").status, http.StatusOK)
 	restarted := hb
 	restarted.Incarnation, restarted.Slots = 1000, 7
 	for restarted.Seq = 1; restarted.Seq <= 2; restarted.Seq++ {
-		n.g.Upstream().HandleHeartbeat(restarted)
+		is.NoErr(n.g.Upstream().HandleHeartbeat(restarted))
 	}
 	is.Equal(n.send("GET", "/read/1", "b", "").status, http.StatusOK)
 	is.Equal(n.g.Load().Slots, 7)
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -40,6 +40,9 @@
 	probeTimeout = 400 * time.Millisecond
 )
 
+// ErrUnknownService is the error for a heartbeat of a service that is not configured.
+var ErrUnknownService = errors.New("the service is not configured")
+
 // Heartbeat is the state that an upstream instance reports about itself.
 type Heartbeat struct {
 	ID, Service, Addr string
@@ -87,8 +90,12 @@
 }
 
 // HandleHeartbeat applies a heartbeat. One that is older than the last known state is
-// ignored.
-func (u *Upstream) HandleHeartbeat(hb Heartbeat) {
+// ignored. The error is ErrUnknownService for one of a service that is not configured, which
+// another sender may have written.
+func (u *Upstream) HandleHeartbeat(hb Heartbeat) error {
+	if !u.g.knowsService(hb.Service) {
+		return ErrUnknownService
+	}
 	u.mu.Lock()
 	cur := u.instance
 	same := hb.ID == cur.ID && (hb.Incarnation == cur.Incarnation || cur.Incarnation == 0 || hb.Incarnation == 0)
@@ -96,7 +103,7 @@
 		u.mu.Unlock()
 		u.g.log.Info().Str("upstream", hb.ID).Uint64("seq", hb.Seq).Uint64("known", cur.Seq).
 			Int64("started", hb.Incarnation).Int64("known_started", cur.Incarnation).Msg("stale heartbeat ignored")
-		return
+		return nil
 	}
 	u.earlier = Heartbeat{}
 	hb.Draining = hb.Draining || same && cur.Draining
@@ -122,6 +129,28 @@
 			Int("slots", hb.Slots).Bool("draining", hb.Draining).Dur("warmup", hb.Warmup).Uint64("seq", hb.Seq).Msg("upstream announced")
 	}
 	u.publish()
+	return nil
+}
+
+// knowsService reports whether a service is that of the settings or is configured. Until there is
+// a configuration, every service may be.
+func (g *Gateway) knowsService(name string) bool {
+	active := g.active.Load()
+	if active == nil || name == g.cfg.Service {
+		return true
+	}
+	_, found := active.table.Services[name]
+	return found
+}
+
+// forgetUnknownService discards the identity of an upstream whose service turns out not to be
+// configured.
+func (u *Upstream) forgetUnknownService() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.g.knowsService(u.instance.Service) {
+		u.instance = Heartbeat{Service: u.g.cfg.Service, Addr: u.g.cfg.UpstreamAddr}
+	}
 }
 
 // startedEarlier reports whether a heartbeat is ignored because its instance started before
