exchange: a response whose status is no final one is a failed exchange

Cause: the client of package exchange passed a 101 and statuses below 100 on as final responses; the server of package ingress writes every status below 200 as an interim response and then completes it with a 200.

Change: statuses below 200 and above 599 fail the exchange at the node beside the upstream, so the request is repeated elsewhere or ends as unknown.

Evidence: testdata/status.txt failed before (101, 0, 99 and 600 were passed on).

--- a/transport/exchange/do.go
+++ b/transport/exchange/do.go
@@ -33,12 +33,15 @@
 	// maxHeadBytes bounds the head of one response, and with it each of its lines. Parsed,
 	// a head of many short lines takes about 16 times its size.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the largest status of a response in HTTP.
+	maxStatus = 599
 )
 
 var (
 	errMismatched  = errors.New("the response belongs to another request")
 	errHeadTooLong = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
 	errInterim     = errors.New("too many interim responses")
+	errStatus      = errors.New("the status of the response is not one of a final response")
 )
 
 // Do sends a request and reads its response. The error is a *StageError.
@@ -199,6 +202,9 @@
 			}
 			continue
 		}
+		if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+			return nil, errStatus
+		}
 		if t.req.Match == nil || t.req.Match(resp.Header) {
 			return resp, nil
 		}
