gateway: do not believe a restarted node about exchanges of its former process

Cause: an entry node that asks for the outcome of a lost exchange compared the process that answers with the last one that had answered any request. A response of the restarted process in between, to another request, defeated the check, and its "never seen" was taken for "does not run".

Change: the answer is compared with the process known before the exchange was sent, or with the one that sent an interim response to it. An outcome that the process did not only fail to find is accepted from any process, because identifiers of exchanges are unique. When another process has taken the place of the one that received the exchange, the request ends as unknown at once and no longer at its deadline.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -194,12 +194,16 @@
 	g, req := s.req.g, s.req
 	header := req.header.Clone()
 	header.Set(hop.Header, meta.Encode())
+	// The process that receives the exchange: the last one known before it, or the one that sends
+	// an interim response to it. A later response to another request may be of a restarted process.
+	epoch := g.peerEpochs.get(a.node.Name)
 	call := &exchange.Request{
 		Addr: a.node.Addr, Method: req.httpReq.Method, Target: req.httpReq.RequestURI, Host: req.httpReq.Host, Header: header,
 		Body: req.bodyReader(), Length: req.length, Deadline: req.deadline.Add(responseSlack), InactivityTimeout: peerInactivityTimeout,
 		OnInterim: func(h http.Header) {
 			if interim, err := hop.ParseResponseMeta(h.Get(hop.Header)); err == nil {
 				g.balancer.RecordLoad(a.node.Name, interim.Load, time.Now())
+				epoch = interim.Epoch
 			}
 		},
 	}
@@ -214,12 +218,12 @@
 		if meta.Kind == routes.Safe {
 			return
 		}
-		go func() {
-			if res, ok := g.resolveExchange(ctx, a, meta.ExchangeID); ok {
+		go func(epoch string) {
+			if res, ok := g.resolveExchange(ctx, a, meta.ExchangeID, epoch); ok {
 				resolved <- res
 				cancel() // ends the exchange on the silent connection
 			}
-		}()
+		}(epoch)
 	}
 	resp, err := g.peerPool.Do(ctx, call)
 	if err == nil {
@@ -241,7 +245,7 @@
 		return
 	case ctx.Err() == nil && meta.Kind != routes.Safe:
 		g.log.Warn().Str("request", req.id).Str("exchange", meta.ExchangeID).Str("node", a.node.Name).Err(err).Msg("connection to the node lost; asking for the outcome")
-		if res, ok := g.resolveExchange(ctx, a, meta.ExchangeID); ok {
+		if res, ok := g.resolveExchange(ctx, a, meta.ExchangeID, epoch); ok {
 			a.res = res
 		}
 	}
@@ -274,14 +278,16 @@
 	return result{meta: meta, resp: resp}
 }
 
-var errPeerExchangeFailed = errors.New("the exchange with the upstream failed at its node")
+var (
+	errPeerExchangeFailed = errors.New("the exchange with the upstream failed at its node")
+	errPeerRestarted      = errors.New("the process of the node that received the exchange has ended")
+)
 
 // resolveExchange asks a node over a new connection for the outcome of an exchange that it
 // doesn't report on the first one. It returns false without an outcome. Only the process that
-// received the request knows it, so a response of a restarted process, which has another
-// epoch, is ignored.
-func (g *Gateway) resolveExchange(ctx context.Context, a *attempt, exchangeID string) (result, bool) {
-	knownEpoch := g.peerEpochs.get(a.node.Name)
+// received the exchange can tell that it does not run: when another one has taken its place, the
+// outcome stays unknown.
+func (g *Gateway) resolveExchange(ctx context.Context, a *attempt, exchangeID, epoch string) (result, bool) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
@@ -289,14 +295,18 @@
 		Addr: a.node.Addr, Method: http.MethodGet, Target: hop.ResolvePath + exchangeID, Host: a.node.Addr,
 		Header: http.Header{}, Deadline: deadline, NewConn: true,
 	})
-	g.log.Info().Str("exchange", exchangeID).Str("node", a.node.Name).Bool("answered", err == nil).Str("epoch", knownEpoch).Msg("outcome of a lost exchange asked")
+	g.log.Info().Str("exchange", exchangeID).Str("node", a.node.Name).Bool("answered", err == nil).Str("epoch", epoch).Msg("outcome of a lost exchange asked")
 	if err != nil {
 		return result{}, false
 	}
 	res := g.parsePeerResponse(resp)
-	if knownEpoch == "" || res.meta.Epoch != knownEpoch {
-		res.resp.Close()
+	switch {
+	case res.meta.Epoch == "":
+		return result{}, false // not a response of a node
+	case res.meta.RejectReason != reasonBarred, res.meta.Epoch == epoch:
+		return res, true
+	case epoch == "":
 		return result{}, false
 	}
-	return res, true
+	return result{err: errPeerRestarted, meta: hop.ResponseMeta{Load: res.meta.Load, Epoch: res.meta.Epoch}}, true
 }
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -92,3 +92,40 @@
 	t.Logf("%d and %d requests, %d answered", len(statuses[0]), len(statuses[1]), answered)
 	is.True(answered >= (len(statuses[0])+len(statuses[1]))*9/10)
 }
+
+// Guards against a non-idempotent request that runs twice, or is refused after it ran, because the
+// restarted process of a node was asked for the outcome of an exchange that its former process
+// received.
+func TestRestartedNodeDoesNotKnowFormerExchanges(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	toFirst := newRelay(t)
+	entry := d.addNode("n1", "d1", "desk", 4)
+	first := d.addNodeBehindRelay(toFirst, "n2", "d2", "archive", 4)
+	d.waitReady(entry)
+	first.upstream.setHandler(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Test-Id") == "w" {
+			time.Sleep(1500 * time.Millisecond)
+		}
+	})
+	lost := make(chan response, 1)
+	go func() { lost <- entry.send("POST", "/write/1", "w", "x") }()
+	waitFor(t, time.Second, "run", func() bool { return first.upstream.runsOf("w") == 1 })
+
+	toFirst.blackhole()
+	first.stop()
+	inbound := freeAddr(t)
+	toFirst.mu.Lock()
+	toFirst.target = inbound
+	toFirst.mu.Unlock()
+	d.startNode(first.name, first.domain, inbound, toFirst.lis.Addr().String(), first.upstream).announce(first.heartbeat)
+	second := d.addNode("n3", "d1", "archive", 4)
+	waitFor(t, 650*time.Millisecond, "response of the restarted node", func() bool {
+		entry.send("GET", "/read/1", "r", "")
+		return first.upstream.runsOf("r") > 0
+	})
+
+	resp := <-lost
+	is.Equal(resp.status, http.StatusBadGateway)
+	is.Equal(first.upstream.runsOf("w")+second.upstream.runsOf("w"), 1)
+}
