roster: replace a lost voter while a learner waits for it

Cause: the roster repeated the addition of a learner and never reached the removal of an unresponsive voter, while the log does not promote a learner before that voter is removed when too few voters respond. A successor asks to join after 1 s, a voter may be replaced after 2.5 s, so the learner always came first.

Change: with a responsive learner, the voter that has been unresponsive for longest is removed when the group has its size, or when the log waits for that. The group tolerates as many losses after the removal as before it.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -9,6 +9,8 @@
 //     disk. The former identity never comes back and is removed at once.
 //   - A host that asks to join with a new address is added. If the group already has its target
 //     size, a voter that has been unresponsive for voterTimeout is removed first.
+//   - A learner that responds is such a replacement. An unresponsive voter is removed for it, because
+//     the log does not promote a learner while too few voters respond.
 //   - If the group is above its target size, a voter that has been unresponsive for voterTimeout
 //     is removed: its host was replaced by one that joined before it left.
 //
@@ -106,20 +108,30 @@
 			newJoiners = append(newJoiners, j)
 		}
 	}
-	voters := 0
+	voters, responsive := 0, 0
+	var learner Member
 	for _, m := range members {
 		switch {
 		case !m.Learner:
 			voters++
+			if m.UnresponsiveSince.IsZero() {
+				responsive++
+			}
 		case unresponsiveFor(m, learnerTimeout, now):
 			return Action{Kind: Remove, Cause: LearnerUnresponsive, ID: m.ID, Addr: m.Addr}
 		default:
-			// The log itself promotes the learner to a voter; a repeated Add only waits for that.
-			return Action{Kind: Add, Cause: JoinRequested, ID: m.ID, Addr: m.Addr}
+			learner = m
 		}
 	}
 	unresponsiveVoter := longestUnresponsiveVoter(members, now)
 	switch {
+	case learner.ID != 0 && unresponsiveVoter.ID != 0 && (voters >= size || responsive <= (voters+1)/2):
+		// The learner takes the voter's place. With so few voters that respond, the log waits for
+		// the removal before it promotes the learner.
+		return Action{Kind: Remove, Cause: Replaced, ID: unresponsiveVoter.ID, Addr: unresponsiveVoter.Addr}
+	case learner.ID != 0:
+		// The log itself promotes the learner to a voter; a repeated Add only waits for that.
+		return Action{Kind: Add, Cause: JoinRequested, ID: learner.ID, Addr: learner.Addr}
 	case voters > size && unresponsiveVoter.ID != 0:
 		return Action{Kind: Remove, Cause: Surplus, ID: unresponsiveVoter.ID, Addr: unresponsiveVoter.Addr}
 	case len(newJoiners) == 0:
