gateway: give an upstream its own service back after late heartbeats of another

Cause: two late heartbeats of the former upstream were taken for those of an upstream that started after its clock was set back. The first 421 then led to a probe that told the identity of the running upstream, and the node kept the former one's service with it.

Change: the node keeps the state of the instance that one with an earlier start time has taken the place of. A probe that tells its identity restores that state, with its service.

--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,3 +40,37 @@
 	waitFor(t, 5*time.Second, "own upstream", func() bool { return n.send("GET", "/read/1", "r", "").status == http.StatusOK })
 	is.Equal(n.upstream.header().Get("Test-Caller"), "archive")
 }
+
+// Guards against requests that an upstream of another service runs: late heartbeats of the former
+// upstream at its address take over the node, and the probe then tells the identity alone.
+func TestLateHeartbeatsDoNotChangeTheService(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	entry, n := d.addNode("n1", "d1", "store", 4), d.addNode("n2", "d2", "desk", 4)
+	n.announce(gateway.Heartbeat{ID: n.upstream.id, Service: "desk", Addr: n.upstream.addr, Slots: 4, Seq: 2, Incarnation: 2000})
+	wrong := atomic.Int64{}
+	n.upstream.setHandler(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Test-For") == n.upstream.id {
+			wrong.Add(1)
+			return
+		}
+		w.Header().Del("Test-Signed")
+		w.Header().Set("Test-Notrun", "misdirected")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	late := gateway.Heartbeat{ID: "i-former", Service: "archive", Addr: n.upstream.addr, Slots: 4, Seq: 7, Incarnation: 1000}
+	for range 3 {
+		for range 2 {
+			late.Seq++
+			is.NoErr(n.g.Upstream().HandleHeartbeat(late))
+		}
+		for i := range 20 {
+			entry.send("POST", "/write/1", fmt.Sprintf("w%d", i), "x")
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	is.Equal(wrong.Load(), int64(0))
+	waitFor(t, time.Second, "own service", func() bool {
+		return len(entry.g.ServiceNodes("desk")) == 1 && len(entry.g.ServiceNodes("archive")) == 0
+	})
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -65,6 +65,7 @@
 	instance       Heartbeat
 	instanceSince  time.Time // when the node first knew the instance
 	earlier        Heartbeat // last heartbeat of an instance with an earlier start time
+	replaced       Heartbeat // instance that one with an earlier start time has taken the place of
 	deregistered   bool      // the instance has announced that it stops
 	down           bool      // nothing listens at its address
 	coldUntil      time.Time
@@ -105,7 +106,10 @@
 			Int64("started", hb.Incarnation).Int64("known_started", cur.Incarnation).Msg("stale heartbeat ignored")
 		return nil
 	}
-	u.earlier = Heartbeat{}
+	u.earlier, u.replaced = Heartbeat{}, Heartbeat{}
+	if !same && hb.Incarnation != 0 && hb.Incarnation < cur.Incarnation {
+		u.replaced = cur
+	}
 	hb.Draining = hb.Draining || same && cur.Draining
 	if !same {
 		u.deregistered = false
@@ -419,7 +423,14 @@
 	if changed {
 		previousID := u.instance.ID
 		u.down, u.instanceSince = false, time.Now()
-		if previousID != info.UpstreamID {
+		switch {
+		case previousID == info.UpstreamID:
+		case u.replaced.ID == info.UpstreamID:
+			// The heartbeats of the other instance were late. The service is that of this one.
+			u.instance, u.replaced = u.replaced, Heartbeat{}
+			u.deregistered = false
+			u.forgetResponses(true)
+		default:
 			u.instance.ID, u.instance.Seq, u.instance.Incarnation = info.UpstreamID, 0, 0
 			u.instance.Draining, u.deregistered = false, false
 			u.forgetResponses(true)
