exchange: close idle connections to addresses that are not used any more

Cause: the idle timeout of a connection was looked at only when its address was used again. Connections to nodes that had left stayed for good.

Change: returning any connection to the pool also closes those of all addresses whose time is over, at most every 5 s.

--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -29,6 +29,9 @@
 	// else detects a connection whose packets are dropped silently.
 	tcpUserTimeout       = 1500 * time.Millisecond
 	tcpKeepAliveInterval = time.Second
+	// sweepInterval is how often connections that have been idle for too long are closed, also those
+	// to addresses that are not used any more.
+	sweepInterval = 5 * time.Second
 )
 
 // Config holds the limits of a Pool.
@@ -54,8 +57,9 @@
 type Pool struct {
 	cfg Config
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by address, most recently used last
+	mu        sync.Mutex
+	idle      map[string][]*conn // by address, most recently used last
+	nextSweep time.Time          // when the idle connections of all addresses are checked again
 }
 
 type conn struct {
@@ -115,6 +119,7 @@
 	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweep(now)
 	list := p.idle[c.addr]
 	for len(list) > 0 && !now.Before(list[0].reusableUntil) {
 		_ = list[0].Close()
@@ -131,6 +136,31 @@
 	p.idle[c.addr] = append(list, c)
 }
 
+// sweep closes the idle connections whose time is over, at most once per sweepInterval or idle
+// timeout. The caller
+// holds mu.
+func (p *Pool) sweep(now time.Time) {
+	if now.Before(p.nextSweep) {
+		return
+	}
+	p.nextSweep = now.Add(min(sweepInterval, p.cfg.IdleTimeout))
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.reusableUntil) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		clear(list[len(kept):])
+		p.idle[addr] = kept
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+}
+
 // CloseIdle closes all idle connections to an address.
 func (p *Pool) CloseIdle(addr string) {
 	p.mu.Lock()
