--- a/coordination/suspect/doc.go
+++ b/coordination/suspect/doc.go
@@ -20,6 +20,10 @@
 // After the refusal has ended, one run alone is allowed. It can crash one more upstream, which
 // doubles the time of the next refusal.
 //
+// Nodes that cannot wait until an upstream is idle run a suspect beside other requests, but never two
+// suspects at a time (RecordCrashBesideOthers). The bounds are the same; the requests beside a
+// suspect are lost with it.
+//
 // A harmless request that was in flight with a crasher is cleared by its first complete run
 // alone, on any node, or when its record expires.
 //
