tests: servers of one test no longer get the same address

Cause, from logs of seven failures: in six, a node was reached at the address of another server. In the seventh, the wait for both upstreams ended with a record that said down.

It never returns an address twice and uses a loopback address of the process. The test waits until both upstreams are known as up. No check and no bound is changed.

--- a/cmd/mulberrycontrol/main_test.go
+++ b/cmd/mulberrycontrol/main_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
 	"github.com/mulberrylink/mulberrylink/state/codec"
 	"github.com/mulberrylink/mulberrylink/state/overlay"
@@ -85,16 +85,6 @@
 	return append(os.Environ(), runAsHostEnv+"=1", "GORACE=atexit_sleep_ms=0")
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
-}
-
 // newCluster formats and starts three hosts. advertise returns the address that the other hosts use
 // for a host; if it is nil, they use the address that the host listens on.
 func newCluster(t *testing.T, advertise func(p *process) string) *cluster {
@@ -104,7 +94,7 @@
 	root := t.TempDir()
 	var members []string
 	for i := 1; i <= 3; i++ {
-		p := &process{t: t, name: fmt.Sprintf("c%d", i), addr: freeAddr(t), admin: freeAddr(t)}
+		p := &process{t: t, name: fmt.Sprintf("c%d", i), addr: testaddr.Free(t), admin: testaddr.Free(t)}
 		p.dataDir, p.settingsPath, p.advertised = filepath.Join(root, p.name), filepath.Join(root, p.name+".ini"), p.addr
 		if advertise != nil {
 			p.advertised = advertise(p)
--- a/cmd/mulberrycontrol/repair_test.go
+++ b/cmd/mulberrycontrol/repair_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
 )
 
@@ -76,7 +77,7 @@
 
 	addArgs := []string{"add", "--name", lostHost.name, "--addr", lostHost.addr}
 	c.checkRefused("used", rest, addArgs...)
-	spare := &process{t: t, name: "c4", addr: freeAddr(t), admin: freeAddr(t)}
+	spare := &process{t: t, name: "c4", addr: testaddr.Free(t), admin: testaddr.Free(t)}
 	c.checkRefused("unreachable", rest, "add", "--name", "c4", "--addr", spare.addr)
 	c.startSpare(spare, lostHost)
 	c.checkRefused("silent", rest, "add", "--name", "c4", "--addr", spare.addr)
--- a/cmd/mulberrynode/process_test.go
+++ b/cmd/mulberrynode/process_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 	"github.com/mulberrylink/mulberrylink/state/overlay"
 	"github.com/mulberrylink/mulberrylink/transport/events"
 )
@@ -37,32 +38,12 @@
 	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
 }
 
-// freeAddr returns a loopback address whose port is free for TCP and UDP.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	for range 20 {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		addr := lis.Addr().String()
-		udp, err := net.ListenPacket("udp", addr)
-		lis.Close()
-		if err == nil {
-			udp.Close()
-			return addr
-		}
-	}
-	t.Fatal("no free address")
-	return ""
-}
-
 // startPeer runs a node with a real node group in this process. It has a configuration, which other
 // nodes fetch from it.
 func startPeer(t *testing.T) (addr string, peer *node) {
 	t.Helper()
 	cfg := testSettings("peer", "d1")
-	cfg.Listen.RPC = freeAddr(t)
+	cfg.Listen.RPC = testaddr.Free(t)
 	cfg.Peers.Seeds = nil
 	lis, err := net.Listen("tcp", cfg.Listen.RPC)
 	if err != nil {
@@ -95,10 +76,10 @@
 // startProcess runs mulberrynode in a child process with one seed.
 func startProcess(t *testing.T, seed string) *process {
 	t.Helper()
-	p := &process{front: freeAddr(t), admin: freeAddr(t), done: make(chan error, 1)}
+	p := &process{front: testaddr.Free(t), admin: testaddr.Free(t), done: make(chan error, 1)}
 	file := filepath.Join(t.TempDir(), "node.ini")
 	ini := fmt.Sprintf("[node]\nname = child\ndomain = d2\n[listen]\nfront = %s\nrpc = %s\nadmin = %s\n[peers]\nseeds = %s\n[log]\nlevel = error\n",
-		p.front, freeAddr(t), p.admin, seed)
+		p.front, testaddr.Free(t), p.admin, seed)
 	if err := os.WriteFile(file, []byte(ini), 0o644); err != nil {
 		t.Fatal(err)
 	}
--- a/controlhost/controlhost_test.go
+++ b/controlhost/controlhost_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -15,6 +14,7 @@
 
 	"github.com/mulberrylink/mulberrylink/controlhost"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 )
 
 // cluster runs control hosts in one process.
@@ -31,20 +31,10 @@
 	stop func()
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = lis.Close() }()
-	return lis.Addr().String()
-}
-
 func newCluster(t *testing.T, seedCount int) *cluster {
 	c := &cluster{t: t, hosts: make(map[string]*runningHost)}
 	for range seedCount {
-		c.seeds = append(c.seeds, freeAddr(t))
+		c.seeds = append(c.seeds, testaddr.Free(t))
 	}
 	return c
 }
@@ -126,7 +116,7 @@
 // group, and the loss of accepted changes when two of five hosts lose their disks.
 func TestGroupFormsAndBearsTwoLostDisks(t *testing.T) {
 	c := newCluster(t, 3)
-	addrs := append([]string{freeAddr(t), freeAddr(t)}, c.seeds...)
+	addrs := append([]string{testaddr.Free(t), testaddr.Free(t)}, c.seeds...)
 	for _, addr := range addrs { // hosts that are not seeds start first
 		c.start(addr, t.TempDir(), true)
 	}
@@ -151,14 +141,14 @@
 // the group would then lose its majority with the next failures.
 func TestReplacedHost(t *testing.T) {
 	c := newCluster(t, 3)
-	all := append([]string{freeAddr(t), freeAddr(t)}, c.seeds...)
+	all := append([]string{testaddr.Free(t), testaddr.Free(t)}, c.seeds...)
 	for _, addr := range all {
 		c.start(addr, t.TempDir(), true)
 	}
 	c.applyChange(newChange(0, 1))
 	waitFor(t, 10*time.Second, "five members", func() bool { return c.hosts[all[0]].host.MemberCount() == 5 && c.hosts[all[4]].host.MemberCount() == 5 })
 	c.hosts[all[2]].stop()
-	replacement := freeAddr(t)
+	replacement := testaddr.Free(t)
 	c.start(replacement, t.TempDir(), false)
 	waitFor(t, 15*time.Second, "version at the new host", func() bool { return c.hosts[replacement].confirmedVersion() == 1 })
 	waitFor(t, 15*time.Second, "removal of the old host", func() bool { return c.hosts[replacement].host.MemberCount() == 5 })
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 )
 
 // writes sends non-idempotent requests to a node, one after the other, until stop is closed. It
@@ -114,7 +116,7 @@
 
 	toFirst.blackhole()
 	first.stop()
-	inbound := freeAddr(t)
+	inbound := testaddr.Free(t)
 	toFirst.mu.Lock()
 	toFirst.target = inbound
 	toFirst.mu.Unlock()
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -20,6 +20,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/gateway"
+	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
 	"github.com/mulberrylink/mulberrylink/transport/rpc"
 )
@@ -205,16 +206,6 @@
 
 func discardLogger() *log.Logger { return &log.Logger{Level: log.FatalLevel} }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = lis.Close() }()
-	return lis.Addr().String()
-}
-
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	d := newDeploymentWithoutConfig(t)
@@ -282,14 +273,14 @@
 // relay they connect to it directly.
 func (d *deployment) addNodeBehindRelay(r *relay, name, domain, service string, slots int) *node {
 	d.t.Helper()
-	inbound, advertised := freeAddr(d.t), ""
+	inbound, advertised := testaddr.Free(d.t), ""
 	if r != nil {
 		r.mu.Lock()
 		r.target = inbound
 		r.mu.Unlock()
 		advertised = r.lis.Addr().String()
 	}
-	u := &fakeUpstream{id: "i-" + name, service: service, addr: freeAddr(d.t), runs: make(map[string]int)}
+	u := &fakeUpstream{id: "i-" + name, service: service, addr: testaddr.Free(d.t), runs: make(map[string]int)}
 	u.srv = &http.Server{Handler: http.HandlerFunc(u.serve)}
 	lis, err := net.Listen("tcp", u.addr)
 	if err != nil {
@@ -314,7 +305,7 @@
 func (d *deployment) restartNodeWithoutHeartbeat(n *node) *node {
 	d.t.Helper()
 	n.stop()
-	restarted := d.startNode(n.name, n.domain, freeAddr(d.t), "", n.upstream)
+	restarted := d.startNode(n.name, n.domain, testaddr.Free(d.t), "", n.upstream)
 	waitFor(d.t, 2*time.Second, "listener", func() bool {
 		conn, err := net.Dial("tcp", restarted.outbound)
 		if err != nil {
@@ -328,7 +319,7 @@
 // startNode starts a node beside an upstream.
 func (d *deployment) startNode(name, domain, inbound, advertised string, u *fakeUpstream) *node {
 	d.t.Helper()
-	n := &node{name: name, domain: domain, upstream: u, outbound: freeAddr(d.t)}
+	n := &node{name: name, domain: domain, upstream: u, outbound: testaddr.Free(d.t)}
 	n.g = gateway.New(gateway.Config{
 		Name: name, Domain: domain, OutboundAddr: n.outbound, InboundAddr: inbound, AdvertisedAddr: advertised, Seeds: []string{d.hubAddr},
 		Service: u.service, UpstreamAddr: u.addr, Headers: testHeaders{}, GracePeriod: 6 * time.Second,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,7 +14,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/gateway"
+	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 )
 
 // abortHandler closes the connection after the request has been read.
@@ -79,7 +82,8 @@
 			bad, good := d.addNode("n1", "d1", "archive", 4), d.addNode("n2", "d2", "archive", 4)
 			d.waitReady(bad)
 			waitFor(t, 5*time.Second, "both upstreams known", func() bool {
-				return good.send("GET", "/read/1", "k", "").err == nil && len(good.g.ServiceNodes("archive")) >= 1 && len(bad.g.ServiceNodes("archive")) >= 1
+				// The first record of a node may tell that its upstream is down.
+				return good.send("GET", "/read/1", "k", "").err == nil && knowsUp(good) && knowsUp(bad)
 			})
 			bad.upstream.setHandler(h)
 			for i := range 3 {
@@ -91,6 +95,13 @@
 	}
 }
 
+// knowsUp reports whether a node knows another node of archive whose upstream is up.
+func knowsUp(n *node) bool {
+	return slices.ContainsFunc(n.g.ServiceNodes("archive"), func(r mulberrylink.Node) bool {
+		return r.Usable() && r.Upstream == mulberrylink.UpstreamUp
+	})
+}
+
 // Guards against exceeding the concurrency limit of an upstream, and against callers that
 // wait although their request will be rejected. With one slot and a long service time most
 // requests must be rejected at once, and a rejected request must not have run.
@@ -237,7 +248,7 @@
 func TestNodeWithoutConfiguration(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
-	d.hubAddr = freeAddr(t) // nothing listens there
+	d.hubAddr = testaddr.Free(t) // nothing listens there
 	n := d.addNode("n1", "d1", "archive", 4)
 	waitFor(t, 2*time.Second, "rejection", func() bool { return n.send("GET", "/read/1", "a", "").err == nil })
 	is.Equal(n.send("GET", "/read/1", "a", "").status, http.StatusServiceUnavailable)
--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mulberrylink/mulberrylink/gateway"
+	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 )
 
 // Guards against a heartbeat with a service that the configuration does not name, which another
@@ -19,7 +20,7 @@
 	d := newDeployment(t)
 	n, other := d.addNode("n1", "d1", "archive", 4), d.addNode("n2", "d2", "archive", 4)
 	d.waitReady(n, other)
-	odd := gateway.Heartbeat{ID: "i-odd", Service: "unnamed", Addr: freeAddr(t), Slots: 4, Seq: 9, Incarnation: 9}
+	odd := gateway.Heartbeat{ID: "i-odd", Service: "unnamed", Addr: testaddr.Free(t), Slots: 4, Seq: 9, Incarnation: 9}
 	is.Equal(n.g.Upstream().HandleHeartbeat(odd), gateway.ErrUnknownService)
 	odd.Seq++
 	is.Equal(n.g.Upstream().HandleHeartbeat(odd), gateway.ErrUnknownService)
@@ -35,7 +36,7 @@
 	is := is.New(t)
 	d := newDeploymentWithoutConfig(t)
 	n := d.addNode("n1", "d1", "archive", 4)
-	is.NoErr(n.g.Upstream().HandleHeartbeat(gateway.Heartbeat{ID: "i-odd", Service: "unnamed", Addr: freeAddr(t), Slots: 4, Seq: 9, Incarnation: 9}))
+	is.NoErr(n.g.Upstream().HandleHeartbeat(gateway.Heartbeat{ID: "i-odd", Service: "unnamed", Addr: testaddr.Free(t), Slots: 4, Seq: 9, Incarnation: 9}))
 	d.configure()
 	waitFor(t, 5*time.Second, "own upstream", func() bool { return n.send("GET", "/read/1", "r", "").status == http.StatusOK })
 	is.Equal(n.upstream.header().Get("Test-Caller"), "archive")
