gateway, platform: read-through of the crash handling

Comments that had to be decoded are reworded, and a paragraph of protocol/feed is wrapped again. turnQueue.acquire says why it tries twice.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -187,16 +187,17 @@
 		q.waiting.Add(-1)
 		return nil, ahead
 	}
-	timer := time.NewTimer(max(0, wait))
-	defer timer.Stop()
+	end = sync.OnceFunc(func() { <-q.turn; q.waiting.Add(-1) })
 	select {
-	case q.turn <- struct{}{}:
-		return sync.OnceFunc(func() { <-q.turn; q.waiting.Add(-1) }), 0
+	case q.turn <- struct{}{}: // also when there is no time to wait
+		return end, 0
 	default:
 	}
+	timer := time.NewTimer(max(0, wait))
+	defer timer.Stop()
 	select {
 	case q.turn <- struct{}{}:
-		return sync.OnceFunc(func() { <-q.turn; q.waiting.Add(-1) }), 0
+		return end, 0
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -65,7 +65,7 @@
 	instance       Heartbeat
 	instanceSince  time.Time // when the node first knew the instance
 	earlier        Heartbeat // last heartbeat of an instance with an earlier start time
-	replaced       Heartbeat // instance that one with an earlier start time has taken the place of
+	replaced       Heartbeat // the instance known before one with an earlier start time was accepted
 	deregistered   bool      // the instance has announced that it stops
 	down           bool      // nothing listens at its address
 	coldUntil      time.Time
--- a/internal/testaddr/testaddr.go
+++ b/internal/testaddr/testaddr.go
@@ -29,13 +29,14 @@
 // Free returns an address on which nothing listens, for TCP or UDP, a different one each time.
 func Free(t testing.TB) string {
 	t.Helper()
+	var lc net.ListenConfig
 	for {
-		lis, err := net.Listen("tcp", processIP()+":0")
+		lis, err := lc.Listen(t.Context(), "tcp", processIP()+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		addr := lis.Addr().String()
-		conn, udpErr := net.ListenPacket("udp", addr)
+		conn, udpErr := lc.ListenPacket(t.Context(), "udp", addr)
 		if udpErr == nil {
 			udpErr = conn.Close()
 		}
--- a/protocol/feed/doc.go
+++ b/protocol/feed/doc.go
@@ -1,12 +1,12 @@
 // Package feed distributes node records and the configuration. A node subscribes to the hub of one
 // control host and sends its own record. The hub sends it the records of all other nodes, the
-// committed document, the failure domains that are out of service, the addresses of the control
-// hosts, and the records of crash suspects (coordination/suspect), which nodes also send to the hub.
-// A subscriber has the records that the hub holds before the first document. Each control host also subscribes to the hubs of all others, so that each knows every node.
-// A hub sends a control host only the records of the nodes that subscribe to this hub. It does not
-// send it the document, which control hosts have from the replicated log. Packages gateway and
-// controlhost use the feed; cmd/mulberrynode and cmd/mulberrycontrol use protocol/controlplane
-// instead.
+// committed document, the failure domains that are out of service, the addresses of the control hosts,
+// and the records of crash suspects (coordination/suspect), which nodes also send to the hub. A
+// subscriber has the records that the hub holds before the first document. Each control host also
+// subscribes to the hubs of all others, so that each knows every node. A hub sends a control host only
+// the records of the nodes that subscribe to this hub. It does not send it the document, which control
+// hosts have from the replicated log. Packages gateway and controlhost use the feed; cmd/mulberrynode
+// and cmd/mulberrycontrol use protocol/controlplane instead.
 //
 // One drpc stream carries both directions. Each side sends at least one message per
 // heartbeatInterval, an empty one if nothing changed, and ends the stream if it has received nothing
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -137,8 +137,7 @@
 }
 
 // sweep closes the idle connections whose time is over, at most once per sweepInterval or idle
-// timeout. The caller
-// holds mu.
+// timeout. The caller holds mu.
 func (p *Pool) sweep(now time.Time) {
 	if now.Before(p.nextSweep) {
 		return
