quorum, storage: a member whose disk was full takes part again

Cause: the first failed write ended the participation of a member for the life of its process. It stayed a voter.

Change: the store can recover from a failed write by cutting the log back to what was synced, and the host repeats the write until it succeeds. Meanwhile it neither leads, votes, acknowledges nor answers reads. Nothing that depends on the failed write has been sent, so this is the same as a slow sync.

Evidence: TestMemberReturnsWhenDiskHasRoom failed before.

--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -271,8 +271,8 @@
 	return hosts
 }
 
-// logLeaderChanges logs each change of leader or term that this host sees, and once the failure that
-// ended its participation in the group.
+// logLeaderChanges logs each change of leader or term that this host sees, and when this host ceases
+// to take part in the group or takes part again.
 func (h *Host) logLeaderChanges(ctx context.Context) {
 	ticker := time.NewTicker(rosterInterval)
 	defer ticker.Stop()
@@ -290,9 +290,13 @@
 				Str("role", status.Role.String()).Uint64("commit", status.Commit).Msg("leader changed")
 			leader, term = status.Leader, status.Term
 		}
-		if status.Err != nil && !failureLogged {
-			failureLogged = true
+		switch failed := status.Err != nil; {
+		case failed && !failureLogged:
 			h.cfg.Log.Error().Err(status.Err).Msg("this host no longer takes part in the group")
+			failureLogged = true
+		case !failed && failureLogged:
+			h.cfg.Log.Info().Msg("this host takes part in the group again")
+			failureLogged = false
 		}
 	}
 }
--- a/coordination/quorum/host.go
+++ b/coordination/quorum/host.go
@@ -20,6 +20,8 @@
 	// changePollInterval is the interval at which a pending membership change or leadership transfer
 	// is checked.
 	changePollInterval = 10 * time.Millisecond
+	// writeRetryInterval is the pause before a failed write is repeated.
+	writeRetryInterval = 100 * time.Millisecond
 )
 
 // Host runs one member. It owns the control goroutine, which runs the core, and the sync goroutine,
@@ -35,7 +37,7 @@
 	readRequests chan *readRequest
 	calls        chan func() // run in the control goroutine
 	batches      chan *batch
-	syncResults  chan error // result of each batch
+	syncResults  chan error // result of each write of a batch
 	syncLoopDone chan struct{}
 	quit         chan struct{}
 	stopped      chan struct{}
@@ -44,7 +46,8 @@
 
 	// Owned by the control goroutine.
 	core               *core
-	failure            error                     // why the member no longer takes part in the group
+	failure            error                     // why the member does not take part in the group
+	suspended          bool                      // failure is a failed write that is being repeated
 	pendingTerm        uint64                    // term of the proposals in pending
 	pending            map[uint64]*proposal      // by index
 	pendingBytes       int                       // bytes of the proposals in pending
--- a/coordination/quorum/host_test.go
+++ b/coordination/quorum/host_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -284,6 +286,80 @@
 	is.True(g.leader() != l)
 }
 
+// limitedDir is a directory on a disk that can be full.
+type limitedDir struct {
+	*storage.Dir
+	full atomic.Bool
+}
+
+func (d *limitedDir) Create(name string) (storage.File, error) {
+	if d.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	f, err := d.Dir.Create(name)
+	return &limitedFile{File: f, dir: d}, err
+}
+
+func (d *limitedDir) Append(name string) (storage.File, error) {
+	f, err := d.Dir.Append(name)
+	return &limitedFile{File: f, dir: d}, err
+}
+
+type limitedFile struct {
+	storage.File
+	dir *limitedDir
+}
+
+// Write writes half of the bytes if the disk is full.
+func (f *limitedFile) Write(b []byte) (int, error) {
+	if !f.dir.full.Load() {
+		return f.File.Write(b)
+	}
+	n, err := f.File.Write(b[:len(b)/2])
+	return n, errors.CombineErrors(err, syscall.ENOSPC)
+}
+
+// Guards against a member that stays out of the group after its disk was full for some time: with each
+// full disk the group would bear one failure less.
+func TestMemberReturnsWhenDiskHasRoom(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 5)
+	dirs := map[string]*limitedDir{}
+	for addr := range g.machines {
+		g.kill(addr)
+		dir, err := storage.NewDir(filepath.Join(g.dir, addr))
+		is.NoErr(err)
+		t.Cleanup(func() { _ = dir.Close() })
+		dirs[addr] = &limitedDir{Dir: dir}
+		g.fs[addr] = dirs[addr]
+		g.open(addr)
+	}
+	for i := range 10 {
+		g.propose(fmt.Sprint("before ", i))
+		l := g.leader()
+		dirs[l.cfg.Addr].full.Store(true)
+		_, st := l.Propose(timeout(t, 5*time.Second), []byte("proposal"))
+		is.True(st == Indeterminate || st == Committed)
+		g.propose(fmt.Sprint("meanwhile ", i))
+		is.True(l.Status().Err != nil)
+		_, _, self := l.Leader()
+		is.True(!self)
+		dirs[l.cfg.Addr].full.Store(false)
+		for end := time.Now().Add(5 * time.Second); !l.ReadBarrier(timeout(t, time.Second)); time.Sleep(time.Millisecond) {
+			is.True(time.Now().Before(end)) // it takes part again
+		}
+	}
+	g.propose("last")
+	for _, h := range g.hosts {
+		is.True(h.ReadBarrier(timeout(t, 5*time.Second)))
+		is.NoErr(h.Status().Err)
+		is.Equal(g.machines[h.cfg.Addr].list(), g.machines["h1"].list())
+	}
+	g.kill("h1")
+	g.kill("h2")
+	g.propose("after")
+}
+
 // Guards against a read that never ends: the leader confirmed its index, and the disk failed before
 // this member had applied the log up to it.
 func TestDiskErrorEndsConfirmedReads(t *testing.T) {
--- a/coordination/quorum/loop.go
+++ b/coordination/quorum/loop.go
@@ -39,7 +39,34 @@
 func (h *Host) syncLoop() {
 	defer close(h.syncLoopDone)
 	for b := range h.batches {
-		h.syncResults <- writeBatch(h.store, b)
+		if !h.writeUntilSynced(b) {
+			return
+		}
+	}
+}
+
+// writeUntilSynced repeats the write of a batch until it succeeds: a full disk has room again after
+// some time. Each result goes to the control goroutine, which suspends the member after an error. It
+// returns false if the host stops.
+func (h *Host) writeUntilSynced(b *batch) bool {
+	err := writeBatch(h.store, b)
+	for {
+		select {
+		case h.syncResults <- err:
+		case <-h.quit:
+			return false
+		}
+		if err == nil {
+			return true
+		}
+		select {
+		case <-time.After(writeRetryInterval):
+		case <-h.quit:
+			return false
+		}
+		if err = h.store.Recover(); err == nil {
+			err = writeBatch(h.store, b)
+		}
 	}
 }
 
@@ -122,17 +149,24 @@
 	}
 }
 
+// handleSynced processes the result of a write. After an error the member is suspended until the
+// same batch is synced. Nothing that depends on the batch has been sent meanwhile.
 func (h *Host) handleSynced(err error) {
-	if err != nil {
+	switch {
+	case err != nil && h.failure == nil:
 		h.fail(err)
-		return
-	}
-	if h.failure == nil {
+		h.suspended = true
+	case err == nil && h.suspended:
+		h.failure, h.suspended = nil, false
+		h.core.setTime(h.deps.now())
+		h.core.resetElectionTimer()
+		h.core.batchSynced()
+	case err == nil && h.failure == nil:
 		h.core.batchSynced()
 	}
 }
 
-// fail ends this member's participation in the group: with an unreliable disk it must not vote,
+// fail ends this member's participation in the group: while its disk refuses writes it must not vote,
 // acknowledge or lead.
 func (h *Host) fail(err error) {
 	h.failure = err
--- a/coordination/quorum/status.go
+++ b/coordination/quorum/status.go
@@ -18,8 +18,8 @@
 	// LearnerMatch holds the index of the highest synced entry of each learner. Only the leader fills
 	// it in.
 	LearnerMatch map[uint64]uint64
-	// Voting reports whether this member takes part in elections. It is false for a learner, after a
-	// disk error and during a sync that takes longer than an election timeout.
+	// Voting reports whether this member takes part in elections. It is false for a learner, while the
+	// disk refuses writes and during a sync that takes longer than an election timeout.
 	Voting bool
 	// UnresponsiveVoter is a voter that has to be removed before a learner is promoted, or 0. Only the
 	// leader fills it in.
@@ -27,8 +27,9 @@
 	// Unresponsive lists the members that have not responded to the leader within the minimum
 	// election timeout. Only the leader fills it in.
 	Unresponsive []uint64
-	// Err is the error that ended the member's participation in the group, such as a disk error or
-	// ErrStopped. It is nil while the member takes part.
+	// Err is the reason why the member does not take part in the group, such as ErrStopped or a disk
+	// error. It is nil while the member takes part, and again once a write that the disk refused has
+	// succeeded.
 	Err error
 }
 
--- a/state/storage/doc.go
+++ b/state/storage/doc.go
@@ -28,6 +28,7 @@
 // and syncs the directory.
 //
 // A Store must be used by one goroutine at a time. After a failed write, every later write returns
-// the same error: a failed sync may have dropped dirty pages, and a retry that succeeds would not
-// show that they are lost.
+// the same error until Recover succeeds: a failed sync may have dropped dirty pages, and a retry of
+// the sync alone would not show that they are lost. Recover cuts the log back to what was synced, and
+// the caller writes the failed data again.
 package storage
--- a/state/storage/log.go
+++ b/state/storage/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"sort"
 	"strconv"
 	"strings"
@@ -21,6 +22,7 @@
 	segments    []segment
 	file        File   // the last segment
 	fileSize    int64  // bytes written to the last segment
+	syncedSize  int64  // bytes of the last segment that the last successful sync covered
 	base        uint64 // index before the first entry
 	last        uint64
 	boundsKnown bool // base and last are set
@@ -38,11 +40,11 @@
 
 // OpenLog reads the log, truncates a torn write at its end and returns the log and its entries. It
 // returns ErrDamaged for any other corruption.
-func OpenLog(fs FS, segmentSize int64) (*Log, []Entry, error) {
+func OpenLog(dir FS, segmentSize int64) (*Log, []Entry, error) {
 	if segmentSize <= 0 {
 		segmentSize = defaultSegmentSize
 	}
-	l := &Log{fs: fs, segmentSize: segmentSize}
+	l := &Log{fs: dir, segmentSize: segmentSize}
 	if err := l.listSegments(); err != nil {
 		return nil, nil, err
 	}
@@ -53,13 +55,13 @@
 	if len(l.segments) == 0 {
 		return l, nil, l.createSegment(1)
 	}
-	l.file, err = fs.Append(l.segments[len(l.segments)-1].name())
+	l.file, err = dir.Append(l.segments[len(l.segments)-1].name())
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "open log segment")
 	}
 	// A process that was killed may have left frames that are readable but not synced.
-	if err := l.file.Sync(); err != nil {
-		return nil, nil, errors.Wrap(err, "sync log")
+	if err := l.syncFile(); err != nil {
+		return nil, nil, err
 	}
 	return l, entries, l.writeFrame(frame{Kind: frameSyncMarker})
 }
@@ -223,7 +225,8 @@
 // last segment.
 func (l *Log) DropPrefix(through uint64) error {
 	for len(l.segments) > 1 && l.segments[0].max <= through {
-		if err := l.fs.Remove(l.segments[0].name()); err != nil {
+		// The segment doesn't exist if a former call removed it and could not sync the directory.
+		if err := l.fs.Remove(l.segments[0].name()); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return errors.Wrap(err, "remove log segment")
 		}
 		// Each removal is synced on its own, so that no crash leaves a gap between segments.
@@ -235,8 +238,33 @@
 	return nil
 }
 
+// Recover drops what a failed write or sync may have left at the end of the log and opens the log for
+// writing again. The entries of the failed write are written again by the caller.
+func (l *Log) Recover() error {
+	if err := l.Close(); err != nil {
+		return errors.Wrap(err, "close log segment")
+	}
+	name := l.segments[len(l.segments)-1].name()
+	if err := l.fs.Truncate(name, l.syncedSize); err != nil {
+		return errors.Wrapf(err, "truncate failed write at the end of %s", name)
+	}
+	file, err := l.fs.Append(name)
+	if err != nil {
+		return errors.Wrap(err, "open log segment")
+	}
+	l.file, l.fileSize = file, l.syncedSize
+	return nil
+}
+
 // Close closes the current segment.
-func (l *Log) Close() error { return l.file.Close() }
+func (l *Log) Close() error {
+	if l.file == nil {
+		return nil
+	}
+	file := l.file
+	l.file = nil
+	return file.Close()
+}
 
 // writeSynced writes and syncs a frame, then writes a sync marker. It starts a new segment first if
 // the current one is full.
@@ -249,10 +277,19 @@
 	if err := l.writeFrame(f); err != nil {
 		return err
 	}
+	if err := l.syncFile(); err != nil {
+		return err
+	}
+	return l.writeFrame(frame{Kind: frameSyncMarker})
+}
+
+// syncFile syncs the current segment.
+func (l *Log) syncFile() error {
 	if err := l.file.Sync(); err != nil {
 		return errors.Wrap(err, "sync log")
 	}
-	return l.writeFrame(frame{Kind: frameSyncMarker})
+	l.syncedSize = l.fileSize
+	return nil
 }
 
 // writeFrame writes a frame to the current segment without a sync.
@@ -272,10 +309,10 @@
 // first, because its last sync marker may be unsynced and only the last segment of a log may end in
 // a torn write.
 func (l *Log) rollSegment() error {
-	if err := l.file.Sync(); err != nil {
-		return errors.Wrap(err, "sync log")
+	if err := l.syncFile(); err != nil {
+		return err
 	}
-	if err := l.file.Close(); err != nil {
+	if err := l.Close(); err != nil {
 		return errors.Wrap(err, "close log segment")
 	}
 	return l.createSegment(l.segments[len(l.segments)-1].seq + 1)
@@ -292,6 +329,6 @@
 		return errors.Wrap(err, "sync data directory")
 	}
 	l.segments = append(l.segments, seg)
-	l.file, l.fileSize = f, 0
+	l.file, l.fileSize, l.syncedSize = f, 0, 0
 	return nil
 }
--- a/state/storage/storage_test.go
+++ b/state/storage/storage_test.go
@@ -168,3 +168,64 @@
 	is.True(s.Init(storage.Hard{ID: 1}) != nil)
 	is.True(s.SaveHard(storage.Hard{ID: 1, Term: 1}) != nil)
 }
+
+// Guards against a store that stays unusable after its disk was full or failed for some time, and
+// against data that is lost or doubled when a failed write is repeated. The write fails after each
+// possible number of bytes, at each sync, and at each change of the directory.
+func TestRecoverAfterFailedWrite(t *testing.T) {
+	steps := []struct {
+		name string
+		do   func(s *storage.Store) error
+	}{
+		{"append", func(s *storage.Store) error { return s.Append(entries(2, 9, 12)) }},
+		{"hard state", func(s *storage.Store) error { return s.SaveHard(storage.Hard{ID: 7, Term: 3, Vote: 2}) }},
+		{"segment", func(s *storage.Store) error { return s.Append(entries(3, 13, 40)) }},
+		{"compaction", func(s *storage.Store) error {
+			if err := s.SaveSnapshot(storage.Snapshot{Index: 20, Term: 3, Data: []byte("part")}); err != nil {
+				return err
+			}
+			return s.DropPrefix(20)
+		}},
+		{"install", func(s *storage.Store) error {
+			return s.Install(storage.Snapshot{Index: 50, Term: 3, Data: []byte("all")})
+		}},
+		{"append after install", func(s *storage.Store) error { return s.Append(entries(3, 51, 53)) }},
+	}
+	faults := map[string]func(d *storagetest.Disk, n int){
+		"full":  func(d *storagetest.Disk, n int) { d.Space = 7 * n },
+		"error": func(d *storagetest.Disk, n int) { d.FailAfter(n, errDisk) },
+	}
+	for kind, inject := range faults {
+		for failing, step := range steps {
+			for n, failed := 0, true; failed; n++ {
+				is := is.New(t)
+				d := storagetest.New(uint64(n))
+				s, _ := open(t, d, 200)
+				is.NoErr(s.Append(entries(1, 1, 10)))
+				for _, before := range steps[:failing] {
+					is.NoErr(before.do(s))
+				}
+				inject(d, n)
+				if failed = step.do(s) != nil; failed && n%2 == 0 {
+					is.True(s.Recover() != nil || kind == "full") // the disk still refuses writes
+				}
+				d.Space, d.Fail = -1, nil
+				d.FailAfter(0, nil)
+				if failed {
+					is.NoErr(s.Recover())
+					is.NoErr(step.do(s))
+				}
+				for _, after := range steps[failing+1:] {
+					is.NoErr(after.do(s))
+				}
+				d.Crash()
+				_, st := open(t, d, 200)
+				if st.Hard.Term != 3 || st.Snapshot.Index != 50 || string(st.Snapshot.Data) != "all" || len(st.Entries) != 3 || st.Entries[2].Index != 53 {
+					t.Fatalf("%s, %s, fault %d: term %d, snapshot %d, %d entries", kind, step.name, n, st.Hard.Term, st.Snapshot.Index, len(st.Entries))
+				}
+			}
+		}
+	}
+}
+
+var errDisk = errors.New("input/output error")
--- a/state/storage/storagetest/disk.go
+++ b/state/storage/storagetest/disk.go
@@ -1,5 +1,6 @@
 // Package storagetest provides an in-memory file system that simulates crashes, full disks and disk
-// errors.
+// errors. A failed sync drops the bytes that it should have made durable: they can still be read, and
+// a later sync does not write them.
 //
 // # Usage
 //
@@ -30,6 +31,9 @@
 	// Syncs is the number of file syncs so far.
 	Syncs int
 
+	failAfter int   // number of operations until failLater takes effect
+	failLater error // set by FailAfter
+
 	rand        *rand.Rand
 	files       map[string]*inode // directory entries
 	syncedFiles map[string]*inode // directory entries at the last SyncDir
@@ -40,6 +44,24 @@
 type inode struct {
 	data   []byte
 	synced []byte
+	// A failed sync has dropped the bytes from droppedFrom up to droppedTo.
+	droppedFrom, droppedTo int
+}
+
+// drop drops the bytes that are not synced.
+func (n *inode) drop() {
+	if n.droppedFrom >= n.droppedTo {
+		n.droppedFrom = len(n.synced)
+	}
+	n.droppedTo = len(n.data)
+}
+
+// sync makes the bytes durable that no failed sync has dropped.
+func (n *inode) sync() {
+	n.synced = slices.Clone(n.data)
+	for i := n.droppedFrom; i < n.droppedTo; i++ {
+		n.synced[i] = 0
+	}
 }
 
 // New returns an empty disk without a space limit. The seed determines what survives crashes.
@@ -53,6 +75,20 @@
 	}
 }
 
+// FailAfter makes the disk fail with err from the operation on that follows n further writes, syncs
+// and changes of the directory. A nil error ends that.
+func (d *Disk) FailAfter(n int, err error) { d.failAfter, d.failLater = n, err }
+
+// failure returns the error of the next operation, nil if it succeeds.
+func (d *Disk) failure() error {
+	if d.failLater != nil {
+		if d.failAfter--; d.failAfter < 0 {
+			d.Fail = d.failLater
+		}
+	}
+	return d.Fail
+}
+
 // Crash simulates a power loss: it drops changes that were not synced. Of unsynced appended bytes a
 // random prefix survives, as after a torn write. Open files become unusable.
 func (d *Disk) Crash() {
@@ -62,10 +98,10 @@
 		n := d.syncedFiles[name]
 		d.files[name] = n
 		survived := slices.Clone(n.synced)
-		if unsynced, ok := bytes.CutPrefix(n.data, n.synced); ok && len(unsynced) > 0 {
+		if unsynced, ok := bytes.CutPrefix(n.data, n.synced); ok && len(unsynced) > 0 && n.droppedFrom >= n.droppedTo {
 			survived = append(survived, unsynced[:d.rand.IntN(len(unsynced)+1)]...)
 		}
-		n.data, n.synced = survived, slices.Clone(survived)
+		n.data, n.synced, n.droppedFrom, n.droppedTo = survived, slices.Clone(survived), 0, 0
 	}
 }
 
@@ -89,8 +125,8 @@
 
 // Create implements storage.FS.
 func (d *Disk) Create(name string) (storage.File, error) {
-	if d.Fail != nil {
-		return nil, d.Fail
+	if err := d.failure(); err != nil {
+		return nil, err
 	}
 	n := &inode{}
 	d.files[name] = n
@@ -108,8 +144,8 @@
 
 // Rename implements storage.FS.
 func (d *Disk) Rename(from, to string) error {
-	if d.Fail != nil {
-		return d.Fail
+	if err := d.failure(); err != nil {
+		return err
 	}
 	n := d.files[from]
 	if n == nil {
@@ -122,8 +158,8 @@
 
 // Remove implements storage.FS.
 func (d *Disk) Remove(name string) error {
-	if d.Fail != nil {
-		return d.Fail
+	if err := d.failure(); err != nil {
+		return err
 	}
 	if d.files[name] == nil {
 		return fs.ErrNotExist
@@ -134,8 +170,8 @@
 
 // SyncDir implements storage.FS.
 func (d *Disk) SyncDir() error {
-	if d.Fail != nil {
-		return d.Fail
+	if err := d.failure(); err != nil {
+		return err
 	}
 	d.syncedFiles = map[string]*inode{}
 	for name, n := range d.files {
@@ -153,11 +189,12 @@
 	if n == nil {
 		return fs.ErrNotExist
 	}
-	if d.Fail != nil {
-		return d.Fail
+	if err := d.failure(); err != nil {
+		return err
 	}
 	n.data = n.data[:size]
-	n.synced = slices.Clone(n.data)
+	n.droppedTo = min(n.droppedTo, len(n.data))
+	n.sync()
 	return nil
 }
 
@@ -182,8 +219,8 @@
 	if f.crashes != f.disk.crashes {
 		return 0, fs.ErrClosed
 	}
-	if f.disk.Fail != nil {
-		return 0, f.disk.Fail
+	if err := f.disk.failure(); err != nil {
+		return 0, err
 	}
 	n := len(b)
 	if f.disk.Space >= 0 {
@@ -202,11 +239,12 @@
 	if f.crashes != f.disk.crashes {
 		return fs.ErrClosed
 	}
-	if f.disk.Fail != nil {
-		return f.disk.Fail
+	if err := f.disk.failure(); err != nil {
+		f.inode.drop()
+		return err
 	}
 	f.disk.Syncs++
-	f.inode.synced = slices.Clone(f.inode.data)
+	f.inode.sync()
 	return nil
 }
 
--- a/state/storage/store.go
+++ b/state/storage/store.go
@@ -163,6 +163,23 @@
 	return s.recordError(s.log.DropPrefix(min(through, s.snapshotIndex)))
 }
 
+// Recover prepares the store for writing after a failed write. It drops what the failed write may
+// have left, so that the caller can write it again. After an error it may be called again. A failed
+// Init is final.
+func (s *Store) Recover() error {
+	if s.err == nil || s.log == nil {
+		return s.err
+	}
+	if _, err := s.removeTempFiles(); err != nil {
+		return err
+	}
+	if err := s.log.Recover(); err != nil {
+		return err
+	}
+	s.err = nil
+	return nil
+}
+
 // Close closes the log.
 func (s *Store) Close() error {
 	if s.log == nil {
