storage: open a log that lacks only unsynced writes after a power loss

Cause: the sync marker and the batch after it are two writes before one sync. If the batch survives and the marker doesn't, OpenLog saw a valid frame after an invalid one and reported corruption.

Change: only a sync marker after an invalid frame shows corruption. The last segment is written anew when the log is opened: after a failed sync, a sync by the next process would not write the pages that the kernel has dropped.

--- a/state/storage/doc.go
+++ b/state/storage/doc.go
@@ -18,10 +18,11 @@
 // write damages at most the last frame.
 //
 // After each sync the log writes a small sync marker frame, which is not synced itself. An invalid
-// frame with a valid frame after it is therefore corruption and not a torn write. Open truncates a
-// torn write at the end of the last segment and reports corruption as ErrDamaged. If the host loses
-// power before the sync marker reaches the disk, corruption of the last batch cannot be
-// distinguished from a torn write.
+// frame with a valid sync marker after it is therefore corruption. Without one it is a write that a
+// power loss has torn or dropped, even if a later batch is valid: a marker and the batch after it are
+// written before the same sync. Open truncates such writes at the end of the last segment and reports
+// corruption as ErrDamaged. If the host loses power before the sync marker reaches the disk,
+// corruption of the last batch cannot be distinguished from a torn write.
 //
 // A batch that starts at or below the last index replaces the entries from there on. The hard state
 // and snapshots are replaced atomically: the store writes a temporary file, syncs it, renames it
--- a/state/storage/frame.go
+++ b/state/storage/frame.go
@@ -99,15 +99,17 @@
 	return f, offset + frameHeaderSize + int64(size), true
 }
 
-// hasFrameAfter reports whether a valid frame starts anywhere after offset.
-func hasFrameAfter(data []byte, seq uint64, offset int64) bool {
+// hasSyncMarkerAfter reports whether a valid sync marker starts anywhere after offset. It shows that
+// everything before it was synced. A batch shows nothing: the writes before its sync survive a power
+// loss independently.
+func hasSyncMarkerAfter(data []byte, seq uint64, offset int64) bool {
 	for start := offset + 1; start < int64(len(data)); start++ {
 		i := bytes.Index(data[start:], frameMagic[:])
 		if i < 0 {
 			return false
 		}
 		start += int64(i)
-		if _, _, ok := decodeFrame(data, seq, start); ok {
+		if f, _, ok := decodeFrame(data, seq, start); ok && f.Kind == frameSyncMarker {
 			return true
 		}
 	}
--- a/state/storage/log.go
+++ b/state/storage/log.go
@@ -38,7 +38,7 @@
 // name returns the file name of the segment.
 func (s segment) name() string { return fmt.Sprintf("%s%016x", segmentPrefix, s.seq) }
 
-// OpenLog reads the log, truncates a torn write at its end and returns the log and its entries. It
+// OpenLog reads the log, drops a torn write at its end and returns the log and its entries. It
 // returns ErrDamaged for any other corruption.
 func OpenLog(dir FS, segmentSize int64) (*Log, []Entry, error) {
 	if segmentSize <= 0 {
@@ -48,21 +48,23 @@
 	if err := l.listSegments(); err != nil {
 		return nil, nil, err
 	}
-	entries, err := l.replay()
+	entries, lastSegment, err := l.replay()
 	if err != nil {
 		return nil, nil, err
 	}
 	if len(l.segments) == 0 {
 		return l, nil, l.createSegment(1)
 	}
-	l.file, err = dir.Append(l.segments[len(l.segments)-1].name())
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "open log segment")
+	// A former process may have left frames that are readable but not synced. A sync is not enough: if
+	// one has failed before, the kernel may have dropped their pages.
+	name := l.segments[len(l.segments)-1].name()
+	if err := replaceFile(dir, name, lastSegment); err != nil {
+		return nil, nil, errors.Wrapf(err, "rewrite %s", name)
 	}
-	// A process that was killed may have left frames that are readable but not synced.
-	if err := l.syncFile(); err != nil {
-		return nil, nil, err
+	if l.file, err = dir.Append(name); err != nil {
+		return nil, nil, errors.Wrap(err, "open log segment")
 	}
+	l.syncedSize = l.fileSize
 	return l, entries, l.writeFrame(frame{Kind: frameSyncMarker})
 }
 
@@ -92,14 +94,14 @@
 	return nil
 }
 
-// replay reads all segments and returns the entries that they leave in the log.
-func (l *Log) replay() ([]Entry, error) {
-	var entries []Entry
+// replay reads all segments and returns the entries that they leave in the log and the valid content of
+// the last segment.
+func (l *Log) replay() (entries []Entry, lastSegment []byte, err error) {
 	for i := range l.segments {
 		seg := &l.segments[i]
 		data, err := readFile(l.fs, seg.name())
 		if err != nil {
-			return nil, errors.Wrapf(err, "read %s", seg.name())
+			return nil, nil, errors.Wrapf(err, "read %s", seg.name())
 		}
 		validSize, err := scanFrames(data, seg.seq, func(f frame) error {
 			for _, e := range f.Entries {
@@ -109,20 +111,17 @@
 			return errors.Wrapf(err, "replay %s", seg.name())
 		})
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
-		l.fileSize = validSize
+		l.fileSize, lastSegment = validSize, data[:validSize]
 		if validSize == int64(len(data)) {
 			continue
 		}
-		if i != len(l.segments)-1 || hasFrameAfter(data, seg.seq, validSize) {
-			return nil, errors.Wrapf(ErrDamaged, "invalid frame in %s at offset %d", seg.name(), validSize)
-		}
-		if err := l.fs.Truncate(seg.name(), validSize); err != nil {
-			return nil, errors.Wrapf(err, "truncate torn write at the end of %s", seg.name())
+		if i != len(l.segments)-1 || hasSyncMarkerAfter(data, seg.seq, validSize) {
+			return nil, nil, errors.Wrapf(ErrDamaged, "invalid frame in %s at offset %d", seg.name(), validSize)
 		}
 	}
-	return entries, nil
+	return entries, lastSegment, nil
 }
 
 // replayFrame applies one frame to the entries before it and returns the result.
--- a/state/storage/storage_test.go
+++ b/state/storage/storage_test.go
@@ -59,6 +59,29 @@
 	}
 }
 
+// Guards against a log that is reported as damaged although only unsynced writes are missing: after a
+// power loss before its sync, a batch may be present and the sync marker before it missing.
+func TestPowerLossBeforeSync(t *testing.T) {
+	for seed := range uint64(100) {
+		is := is.New(t)
+		d := storagetest.New(seed)
+		s, _ := open(t, d, 200)
+		is.NoErr(s.Append(entries(1, 1, 3)))
+		d.FailAfter(int(seed%4), storagetest.ErrPowerLoss)
+		err := s.Append(entries(1, 4, 6))
+		d.Fail = nil
+		d.FailAfter(0, nil)
+		d.Crash()
+		s, st, openErr := storage.Open(d, storage.Options{SegmentSize: 200})
+		is.NoErr(openErr)
+		is.True(len(st.Entries) == 6 || len(st.Entries) == 3 && err != nil)
+		is.NoErr(s.Append(entries(1, len(st.Entries)+1, 9)))
+		d.Crash()
+		_, st = open(t, d, 200)
+		is.Equal(len(st.Entries), 9)
+	}
+}
+
 // Guards against corruption of the log, the hard state or a snapshot that goes undetected: the
 // member would vote without entries that it has acknowledged.
 func TestDamageIsReported(t *testing.T) {
--- a/state/storage/storagetest/disk.go
+++ b/state/storage/storagetest/disk.go
@@ -6,12 +6,13 @@
 //
 //	d := storagetest.New(seed)
 //	store, state, err := storage.Open(d, storage.Options{})
-//	d.Crash() // loses what was not synced, apart from a random prefix of appended bytes
+//	d.Crash() // of the writes that were not synced, each survives, is lost or is torn
 //	d.Fail = errors.New("no space left on device")
 package storagetest
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"io/fs"
 	"math/rand/v2"
@@ -20,6 +21,9 @@
 	"github.com/mulberrylink/mulberrylink/state/storage"
 )
 
+// ErrPowerLoss is the error of operations that a power loss has interrupted. Crash has to follow.
+var ErrPowerLoss = errors.New("power loss")
+
 // Disk implements storage.FS in memory.
 type Disk struct {
 	// Fail, if not nil, is the error of every write, sync and change of the directory.
@@ -44,6 +48,7 @@
 type inode struct {
 	data   []byte
 	synced []byte
+	writes []int // sizes of the file after each write since the last sync
 	// A failed sync has dropped the bytes from droppedFrom up to droppedTo.
 	droppedFrom, droppedTo int
 }
@@ -58,7 +63,7 @@
 
 // sync makes the bytes durable that no failed sync has dropped.
 func (n *inode) sync() {
-	n.synced = slices.Clone(n.data)
+	n.synced, n.writes = slices.Clone(n.data), nil
 	for i := n.droppedFrom; i < n.droppedTo; i++ {
 		n.synced[i] = 0
 	}
@@ -89,8 +94,9 @@
 	return d.Fail
 }
 
-// Crash simulates a power loss: it drops changes that were not synced. Of unsynced appended bytes a
-// random prefix survives, as after a torn write. Open files become unusable.
+// Crash simulates a power loss: it drops changes of the directory that were not synced. Of the writes
+// to a file that were not synced, each survives, is lost or is torn, independent of the others. Lost
+// bytes before others that survive are zero. Open files become unusable.
 func (d *Disk) Crash() {
 	d.crashes++
 	d.files = map[string]*inode{}
@@ -98,13 +104,34 @@
 		n := d.syncedFiles[name]
 		d.files[name] = n
 		survived := slices.Clone(n.synced)
-		if unsynced, ok := bytes.CutPrefix(n.data, n.synced); ok && len(unsynced) > 0 && n.droppedFrom >= n.droppedTo {
-			survived = append(survived, unsynced[:d.rand.IntN(len(unsynced)+1)]...)
+		if bytes.HasPrefix(n.data, n.synced) && n.droppedFrom >= n.droppedTo {
+			survived = d.surviving(n)
 		}
-		n.data, n.synced, n.droppedFrom, n.droppedTo = survived, slices.Clone(survived), 0, 0
+		*n = inode{data: survived, synced: slices.Clone(survived)}
 	}
 }
 
+// surviving returns the content of a file after a power loss.
+func (d *Disk) surviving(n *inode) []byte {
+	content := slices.Clone(n.synced)
+	start := len(n.synced)
+	for _, end := range n.writes {
+		kept := 0
+		switch d.rand.IntN(3) {
+		case 0:
+			kept = end - start
+		case 1:
+			kept = d.rand.IntN(end - start + 1)
+		}
+		if kept > 0 {
+			content = append(content, make([]byte, start-len(content))...)
+			content = append(content, n.data[start:start+kept]...)
+		}
+		start = end
+	}
+	return content
+}
+
 // Flip inverts the lowest bit of the byte at offset, also in the synced content.
 func (d *Disk) Flip(name string, offset int) {
 	n := d.files[name]
@@ -228,6 +255,7 @@
 		f.disk.Space -= n
 	}
 	f.inode.data = append(f.inode.data, b[:n]...)
+	f.inode.writes = append(f.inode.writes, len(f.inode.data))
 	if n < len(b) {
 		return n, f.disk.Full
 	}
@@ -240,7 +268,9 @@
 		return fs.ErrClosed
 	}
 	if err := f.disk.failure(); err != nil {
-		f.inode.drop()
+		if !errors.Is(err, ErrPowerLoss) {
+			f.inode.drop()
+		}
 		return err
 	}
 	f.disk.Syncs++
