gateway: the outcome of an exchange whose record has expired is unknown

What callers could see: a request that must run once runs twice, or is refused after it ran.

Cause: a node keeps the outcome of an exchange for 5 s. Asked later, for example by an entry node that was suspended, it took the exchange for one that never arrived, marked it as barred and stated that it does not run. The mark expired in the same way.

Change: the node remembers, for each entry node, the highest number of an exchange whose record has expired. Up to it an exchange without a record is unknown when asked for, and does not run when it arrives.

Evidence: TestExpiredOutcomeIsUnknown failed before (barred).

--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/internal/testaddr"
+	"github.com/mulberrylink/mulberrylink/protocol/hop"
 )
 
 // writes sends non-idempotent requests to a node, one after the other, until stop is closed. It
@@ -131,3 +133,48 @@
 	is.Equal(resp.status, http.StatusBadGateway)
 	is.Equal(first.upstream.runsOf("w")+second.upstream.runsOf("w"), 1)
 }
+
+// sendHop sends a request to the inbound address of a node as another node does.
+func (n *node) sendHop(t *testing.T, method, target, exchangeID string) hop.ResponseMeta {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+n.inbound+target, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Test-Id", exchangeID)
+	r.Header.Set(hop.Header, hop.RequestMeta{
+		ExchangeID: exchangeID, Service: "archive", Route: "write", Kind: routes.Unsafe, Objective: time.Second, Timeout: time.Second, ServiceTime: time.Millisecond,
+	}.Encode())
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	meta, err := hop.ParseResponseMeta(resp.Header.Get(hop.Header))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return meta
+}
+
+// Guards against a non-idempotent request that runs twice because the node that ran it has dropped its
+// outcome and states that it does not run, and against one that runs after that was stated. An entry
+// node that was suspended asks late.
+func TestExpiredOutcomeIsUnknown(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 4)
+	d.waitReady(n)
+	is.Equal(n.sendHop(t, "POST", "/write/1", "entry-1-7a-1").RejectReason, "")
+	is.Equal(n.sendHop(t, "GET", hop.ResolvePath+"entry-1-7a-2", "").RejectReason, "barred")
+	is.Equal(n.sendHop(t, "POST", "/write/1", "entry-1-7a-2").RejectReason, "barred")
+	time.Sleep(5100 * time.Millisecond)
+	late := n.sendHop(t, "GET", hop.ResolvePath+"entry-1-7a-1", "")
+	is.Equal(late.RejectReason, "")
+	is.True(late.ExchangeFailed)
+	is.Equal(n.sendHop(t, "POST", "/write/1", "entry-1-7a-2").RejectReason, "barred")
+	is.Equal(n.upstream.runsOf("entry-1-7a-2"), 0)
+	is.Equal(n.sendHop(t, "GET", hop.ResolvePath+"entry-1-7a-3", "").RejectReason, "barred") // never seen
+	is.Equal(n.sendHop(t, "GET", hop.ResolvePath+"entry-1-9c-1", "").RejectReason, "barred") // of another process
+	is.Equal(n.sendHop(t, "POST", "/write/1", "entry-1-7a-4").RejectReason, "")
+}
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -255,6 +255,7 @@
 
 // node is a gateway with its upstream.
 type node struct {
+	inbound   string
 	name      string
 	domain    string
 	stop      func()
@@ -319,7 +320,7 @@
 // startNode starts a node beside an upstream.
 func (d *deployment) startNode(name, domain, inbound, advertised string, u *fakeUpstream) *node {
 	d.t.Helper()
-	n := &node{name: name, domain: domain, upstream: u, outbound: testaddr.Free(d.t)}
+	n := &node{name: name, domain: domain, upstream: u, inbound: inbound, outbound: testaddr.Free(d.t)}
 	n.g = gateway.New(gateway.Config{
 		Name: name, Domain: domain, OutboundAddr: n.outbound, InboundAddr: inbound, AdvertisedAddr: advertised, Seeds: []string{d.hubAddr},
 		Service: u.service, UpstreamAddr: u.addr, Headers: testHeaders{}, GracePeriod: 6 * time.Second,
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -169,11 +170,18 @@
 	return n, err
 }
 
+var errOutcomeExpired = errors.New("the outcome of the exchange is no longer known")
+
 // serveResolve responds with the outcome of an exchange whose connection was lost, and
 // waits for the outcome while the exchange runs. An exchange that hasn't begun is
 // prevented from running.
 func (g *Gateway) serveResolve(w http.ResponseWriter, r *http.Request, id string) {
 	rec := g.outcomes.resolve(id, time.Now())
+	if rec == nil {
+		g.log.Info().Str("exchange", id).Msg("outcome of a lost exchange is no longer known")
+		g.respondToPeer(w, &result{err: errOutcomeExpired, meta: hop.ResponseMeta{Load: g.admission.Load(), ExchangeFailed: true, Epoch: g.epoch}})
+		return
+	}
 	stop := g.sendInterim(w)
 	select {
 	case <-rec.done:
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,17 +29,71 @@
 	mu    sync.Mutex
 	byID  map[string]*outcomeRecord
 	order []string // identifiers, the oldest first
+	// expired holds, for each entry node, the last exchange of its latest process whose record has
+	// expired. A former process has ended, so nobody asks for its exchanges.
+	expired map[string]exchangeID
 }
 
-func newOutcomeStore() *outcomeStore { return &outcomeStore{byID: make(map[string]*outcomeRecord)} }
+func newOutcomeStore() *outcomeStore {
+	return &outcomeStore{byID: make(map[string]*outcomeRecord), expired: make(map[string]exchangeID)}
+}
+
+// exchangeID identifies an exchange.
+type exchangeID struct {
+	node  string // of the entry node
+	epoch string // of the process of the entry node
+	seq   uint64 // ascending within the process
+}
+
+// String returns the text that nodes send.
+func (id exchangeID) String() string {
+	return id.node + "-" + id.epoch + "-" + strconv.FormatUint(id.seq, 10)
+}
+
+// parseExchangeID parses the text of an identifier. The name of the node may contain the separator.
+func parseExchangeID(text string) (id exchangeID, ok bool) {
+	process, number, ok := cutLast(text)
+	if !ok {
+		return exchangeID{}, false
+	}
+	id.node, id.epoch, ok = cutLast(process)
+	seq, err := strconv.ParseUint(number, 10, 64)
+	id.seq = seq
+	return id, ok && err == nil
+}
+
+// cutLast splits text at its last separator.
+func cutLast(text string) (before, after string, ok bool) {
+	i := strings.LastIndexByte(text, '-')
+	if i < 0 {
+		return "", "", false
+	}
+	return text[:i], text[i+1:], true
+}
+
+// mayHaveExpired reports whether there may have been a record of the exchange that has expired. The
+// caller holds mu.
+func (s *outcomeStore) mayHaveExpired(text string) bool {
+	id, ok := parseExchangeID(text)
+	last := s.expired[id.node]
+	return ok && id.epoch == last.epoch && id.seq <= last.seq
+}
+
+// recordExpired remembers that the record of an exchange has expired. The caller holds mu.
+func (s *outcomeStore) recordExpired(text string) {
+	id, ok := parseExchangeID(text)
+	if last := s.expired[id.node]; ok && (id.epoch != last.epoch || id.seq > last.seq) {
+		s.expired[id.node] = id
+	}
+}
 
 // begin registers an exchange. It returns nil when the outcome of the exchange has been
-// requested before, because the entry node has then been told that it doesn't run.
+// requested before, or may have been, because the entry node has then been told that it doesn't run.
 func (s *outcomeStore) begin(id string, now time.Time) *outcomeRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
-	if s.byID[id] != nil {
+	if s.byID[id] != nil || s.mayHaveExpired(id) {
 		return nil
 	}
 	rec := &outcomeRecord{done: make(chan struct{}), expires: now.Add(outcomeRetention)}
@@ -46,12 +102,16 @@
 }
 
 // resolve returns the record of an exchange. An exchange that hasn't begun is marked, so
-// that begin rejects it when it arrives later.
+// that begin rejects it when it arrives later. It returns nil when the record may have expired: the
+// outcome is then unknown.
 func (s *outcomeStore) resolve(id string, now time.Time) *outcomeRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
 	rec := s.byID[id]
+	if rec == nil && s.mayHaveExpired(id) {
+		return nil
+	}
 	if rec == nil {
 		rec = &outcomeRecord{done: make(chan struct{}), mustNotRun: true, expires: now.Add(outcomeRetention)}
 		close(rec.done)
@@ -85,6 +145,7 @@
 		if now.Before(rec.expires) {
 			return
 		}
+		s.recordExpired(s.order[0])
 		delete(s.byID, s.order[0])
 		s.order = s.order[1:]
 	}
