gateway: after SIGTERM take only requests that finish before the exit

Change: a request that may run only once is taken if its deadline is before the exit, an idempotent one also if the usual time of its route is left. The others are rejected at once, with a Retry-After until callers have noticed the stop.

--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -227,8 +227,10 @@
 			MaxAttempts: 2, Split: []routes.WeightedService{{Service: "archive", Weight: 1}},
 		}
 	}
+	longRead, longWrite := route("longread", "/longread/", routes.Safe), route("longwrite", "/longwrite/", routes.Unsafe)
+	longRead.Timeout, longWrite.Timeout = 8*time.Second, 8*time.Second
 	d.table = routes.NewTable(1, []routes.Route{
-		route("read", "/read/", routes.Safe), route("write", "/write/", routes.Unsafe), route("put", "/put/", routes.Upload),
+		route("read", "/read/", routes.Safe), route("write", "/write/", routes.Unsafe), route("put", "/put/", routes.Upload), longRead, longWrite,
 	}, []routes.Service{{Name: "archive", HealthPath: "/health"}, {Name: "desk", HealthPath: "/health"}}, routes.Limits{MaxBodyBytes: 64 << 20})
 	hub := feed.NewHub(feed.HubConfig{
 		Directory: directory.New(), Suspects: suspect.New(suspect.Config{Clock: systemClock{}}), State: d.machine.Current, HasLeader: func() bool { return true },
@@ -382,9 +384,13 @@
 	if err != nil {
 		return response{err: err}
 	}
+	return sendRequest(c, r, id, 2*time.Second)
+}
+
+func sendRequest(c *http.Client, r *http.Request, id string, wait time.Duration) response {
 	r.Host = "shop"
 	r.Header.Set("Test-Id", id)
-	r.Header.Set("Test-Wait", "2000")
+	r.Header.Set("Test-Wait", strconv.FormatInt(wait.Milliseconds(), 10))
 	resp, err := c.Do(r)
 	if err != nil {
 		return response{err: err}
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -60,10 +60,6 @@
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler) // nobody reads a response
 	}
-	if remaining := g.timeToExit(now); remaining < rejectBeforeExit {
-		g.writeError(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonLeaving, max(remaining, defaultRetryAfter))
-		return
-	}
 	route := active.table.Match(r.Host, r.RequestURI)
 	if route == nil {
 		g.writeError(w, r, nil, http.StatusNotFound, mulberrylink.NotRun, mulberrylink.ReasonNoRoute.String(), 0)
@@ -74,6 +70,10 @@
 		return
 	}
 	req := g.newRequest(active, route, r, now)
+	if now := time.Now(); !req.finishesBeforeExit(now) {
+		g.writeError(w, r, req, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonLeaving, g.retryAfterShutdown(now))
+		return
+	}
 	if err := g.receiveBody(w, req); err != nil {
 		var tooLarge *http.MaxBytesError
 		switch {
