controlhost, storage: discarding an identity can be repeated after a failure

What callers could see: a control host that was removed from the group and could not clear its data directory at the first try, for example because the disk was full, never joins again.

Cause: the second try released the lock of the directory twice and failed on that. A process that ended while it cleared the directory left files that no process can open.

Change: Host.Stop may be called again. storage.Clear marks the directory before it removes the files, and storage.Open finishes an interrupted clear.

Evidence: TestRemovedHostJoinsAfterAFailedReset failed before.

--- a/controlhost/controlhost_test.go
+++ b/controlhost/controlhost_test.go
@@ -157,6 +157,36 @@
 	c.applyChange(newChange(1, 2))
 }
 
+// Guards against a host that was removed from the group and never joins again, because its data
+// directory could not be cleared at the first try.
+func TestRemovedHostJoinsAfterAFailedReset(t *testing.T) {
+	c := newCluster(t, 3)
+	all := append([]string{testaddr.Free(t), testaddr.Free(t)}, c.seeds...)
+	for _, addr := range all {
+		c.start(addr, t.TempDir(), true)
+	}
+	c.applyChange(newChange(0, 1))
+	waitFor(t, 10*time.Second, "five members", func() bool { return c.hosts[all[0]].host.MemberCount() == 5 && c.hosts[all[4]].host.MemberCount() == 5 })
+	removed := c.hosts[all[2]]
+	removed.stop()
+	replacement := testaddr.Free(t)
+	c.start(replacement, t.TempDir(), false)
+	waitFor(t, 15*time.Second, "replacement", func() bool {
+		return c.hosts[replacement].confirmedVersion() == 1 && c.hosts[replacement].host.MemberCount() == 5
+	})
+
+	returned := c.start(all[2], removed.dir, false)
+	aside := returned.dir + "-aside"
+	if err := errors.Join(os.Rename(returned.dir, aside), os.WriteFile(returned.dir, nil, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(4 * time.Second) // it is told that it was removed after 2 s
+	if err := errors.Join(os.Remove(returned.dir), os.Rename(aside, returned.dir)); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, 10*time.Second, "version at the returned host", func() bool { return returned.confirmedVersion() == 1 })
+}
+
 // Guards against results that mislead operators: a rejected change that takes effect, a repeated
 // change that is rejected, and two accepted changes with the same base version.
 func TestOutcomes(t *testing.T) {
--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -16,8 +16,6 @@
 	"context"
 	"hash/fnv"
 	"net"
-	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -190,28 +188,6 @@
 	return nil
 }
 
-// resetIdentity discards an identity that was removed from the group: it clears the data directory
-// and opens a replica with a new identity, under which the host asks to join.
-func (h *Host) resetIdentity(ctx context.Context) error {
-	old := h.replica.Load()
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	if err := old.quorumHost.Stop(ctx); err != nil {
-		return err
-	}
-	old.links.Close()
-	entries, err := os.ReadDir(h.cfg.Dir)
-	if err != nil {
-		return errors.Wrap(err, "clear data directory")
-	}
-	for _, entry := range entries {
-		if err := os.RemoveAll(filepath.Join(h.cfg.Dir, entry.Name())); err != nil {
-			return errors.Wrap(err, "clear data directory")
-		}
-	}
-	return h.openReplica()
-}
-
 // Serve runs the host until ctx is done.
 func (h *Host) Serve(ctx context.Context) error {
 	var lc net.ListenConfig
--- a/coordination/quorum/host.go
+++ b/coordination/quorum/host.go
@@ -42,6 +42,8 @@
 	quit         chan struct{}
 	stopped      chan struct{}
 	stopOnce     sync.Once
+	closeOnce    sync.Once
+	closeErr     error // set by closeOnce
 	status       atomic.Pointer[MemberStatus]
 
 	// Owned by the control goroutine.
@@ -236,7 +238,7 @@
 }
 
 // Stop transfers leadership if this member leads, and stops the host. Proposals that are not
-// committed by then end as Indeterminate.
+// committed by then end as Indeterminate. It may be called again.
 func (h *Host) Stop(ctx context.Context) error {
 	h.transferLeadership(ctx)
 	h.stopOnce.Do(func() { close(h.quit) })
@@ -245,7 +247,8 @@
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "disk sync has not returned")
 	}
-	return errors.CombineErrors(h.store.Close(), h.closeFS())
+	h.closeOnce.Do(func() { h.closeErr = errors.CombineErrors(h.store.Close(), h.closeFS()) })
+	return h.closeErr
 }
 
 // transferLeadership starts a leadership transfer and waits until this member no longer leads, for
--- a/state/storage/storage_test.go
+++ b/state/storage/storage_test.go
@@ -251,4 +251,28 @@
 	}
 }
 
+// Guards against a data directory that can neither be opened nor used anew because clearing it was
+// interrupted at some operation, by the end of the process or a power loss.
+func TestInterruptedClear(t *testing.T) {
+	for seed := range uint64(200) {
+		is := is.New(t)
+		d := storagetest.New(seed)
+		s, _ := open(t, d, 200)
+		is.NoErr(s.SaveHard(storage.Hard{ID: 7, Term: 2}))
+		is.NoErr(s.Append(entries(1, 1, 40)))
+		is.NoErr(s.Append(entries(1, 41, 60)))
+		is.NoErr(s.SaveSnapshot(storage.Snapshot{Index: 30, Term: 1, Data: []byte("part")}))
+		d.FailAfter(int(seed%12), storagetest.ErrPowerLoss)
+		err := storage.Clear(d)
+		d.Fail = nil
+		d.FailAfter(0, nil)
+		if seed%3 > 0 {
+			d.Crash()
+		}
+		_, st, openErr := storage.Open(d, storage.Options{SegmentSize: 200})
+		is.NoErr(openErr)
+		is.True(!st.Exists || err != nil && st.Hard.ID == 7 && len(st.Entries) == 30)
+	}
+}
+
 var errDisk = errors.New("input/output error")
--- a/state/storage/storagetest/disk.go
+++ b/state/storage/storagetest/disk.go
@@ -15,6 +15,7 @@
 	"errors"
 	"io"
 	"io/fs"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -94,15 +95,20 @@
 	return d.Fail
 }
 
-// Crash simulates a power loss: it drops changes of the directory that were not synced. Of the writes
+// Crash simulates a power loss: each change of the directory that was not synced survives or is lost,
+// independent of the others. Of the writes
 // to a file that were not synced, each survives, is lost or is torn, independent of the others. Lost
 // bytes before others that survive are zero. Open files become unusable.
 func (d *Disk) Crash() {
 	d.crashes++
-	d.files = map[string]*inode{}
-	for _, name := range sortedNames(d.syncedFiles) {
-		n := d.syncedFiles[name]
-		d.files[name] = n
+	for _, name := range sortedNames(d.files, d.syncedFiles) {
+		if d.rand.IntN(2) == 0 {
+			setEntry(d.files, name, d.syncedFiles[name])
+		}
+	}
+	d.syncedFiles = maps.Clone(d.files)
+	for _, name := range sortedNames(d.files) {
+		n := d.files[name]
 		survived := slices.Clone(n.synced)
 		if bytes.HasPrefix(n.data, n.synced) && n.droppedFrom >= n.droppedTo {
 			survived = d.surviving(n)
@@ -200,10 +206,7 @@
 	if err := d.failure(); err != nil {
 		return err
 	}
-	d.syncedFiles = map[string]*inode{}
-	for name, n := range d.files {
-		d.syncedFiles[name] = n
-	}
+	d.syncedFiles = maps.Clone(d.files)
 	return nil
 }
 
@@ -281,11 +284,20 @@
 // Close implements storage.File.
 func (f *file) Close() error { return nil }
 
-func sortedNames(m map[string]*inode) []string {
+// setEntry sets or, without a file, removes an entry of a directory.
+func setEntry(dir map[string]*inode, name string, n *inode) {
+	if n == nil {
+		delete(dir, name)
+		return
+	}
+	dir[name] = n
+}
+
+func sortedNames(dirs ...map[string]*inode) []string {
 	var names []string
-	for name := range m {
-		names = append(names, name)
+	for _, dir := range dirs {
+		names = slices.AppendSeq(names, maps.Keys(dir))
 	}
 	slices.Sort(names)
-	return names
+	return slices.Compact(names)
 }
--- a/state/storage/store.go
+++ b/state/storage/store.go
@@ -17,7 +17,8 @@
 	hardStateName  = "hardstate"
 	snapshotPrefix = "snapshot-"
 	tempSuffix     = ".tmp"
-	checksumSize   = 8 // bytes
+	clearingName   = "clearing" // exists while Clear removes the other files
+	checksumSize   = 8          // bytes
 )
 
 // ErrExists reports that the data directory already holds the state of a member.
@@ -77,6 +78,12 @@
 	if err != nil {
 		return nil, State{}, err
 	}
+	if slices.Contains(names, clearingName) {
+		if err := finishClear(fs); err != nil {
+			return nil, State{}, err
+		}
+		names = nil
+	}
 	// A process that was killed may have left a rename that is not synced.
 	if err := fs.SyncDir(); err != nil {
 		return nil, State{}, errors.Wrap(err, "sync data directory")
@@ -102,6 +109,42 @@
 	return s, st, s.openLog(&st)
 }
 
+// Clear removes the state of a member for good. If it is interrupted, Open finishes it: without a part
+// of its files the member could not be opened any more.
+func Clear(fs FS) error {
+	f, err := fs.Create(clearingName)
+	if err != nil {
+		return errors.Wrap(err, "mark data directory")
+	}
+	if err := errors.CombineErrors(f.Sync(), f.Close()); err != nil {
+		return errors.Wrap(err, "mark data directory")
+	}
+	if err := fs.SyncDir(); err != nil {
+		return errors.Wrap(err, "sync data directory")
+	}
+	return finishClear(fs)
+}
+
+// finishClear removes all files, the mark of Clear last.
+func finishClear(fs FS) error {
+	names, err := fs.List()
+	if err != nil {
+		return errors.Wrap(err, "list data directory")
+	}
+	names = slices.DeleteFunc(names, func(name string) bool { return name == clearingName })
+	for _, batch := range [][]string{names, {clearingName}} {
+		for _, name := range batch {
+			if err := fs.Remove(name); err != nil {
+				return errors.Wrap(err, "clear data directory")
+			}
+		}
+		if err := fs.SyncDir(); err != nil {
+			return errors.Wrap(err, "sync data directory")
+		}
+	}
+	return nil
+}
+
 // Init writes the first hard state of a member and creates its log. It returns ErrExists if the
 // directory already holds a member.
 func (s *Store) Init(h Hard) error {
