gateway: late heartbeats of a former upstream do not change the caller's service

Cause: the second heartbeat of an instance that started before the known one was taken for a sign that the clock of the host had been set back, and replaced the known instance.

Change: before that the node asks the known instance for its identity. If it answers, the heartbeats are late.

Evidence: TestLateHeartbeatsDoNotChangeTheCaller failed before.

--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -75,3 +75,29 @@
 		return len(entry.g.ServiceNodes("desk")) == 1 && len(entry.g.ServiceNodes("archive")) == 0
 	})
 }
+
+// Guards against requests that bear the service of a former upstream: late heartbeats of it take over
+// the node where the requests begin.
+func TestLateHeartbeatsDoNotChangeTheCaller(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n, other := d.addNode("n1", "d1", "archive", 4), d.addNode("n2", "d2", "archive", 4)
+	n.announce(gateway.Heartbeat{ID: n.upstream.id, Service: "archive", Addr: n.upstream.addr, Slots: 4, Seq: 2, Incarnation: 2000})
+	d.waitReady(n, other)
+	other.upstream.setHandler(func(_ http.ResponseWriter, r *http.Request) {
+		if caller := r.Header.Get("Test-Caller"); caller != "archive" {
+			t.Errorf("request %s of an archive upstream bears the service %q", r.Header.Get("Test-Id"), caller)
+		}
+	})
+	late := gateway.Heartbeat{ID: "i-former", Service: "desk", Addr: n.upstream.addr, Slots: 4, Seq: 7, Incarnation: 1000}
+	for round := range 3 {
+		for range 2 {
+			late.Seq++
+			is.NoErr(n.g.Upstream().HandleHeartbeat(late))
+		}
+		for i := range 40 {
+			n.send("GET", "/read/1", fmt.Sprintf("r%d-%d", round, i), "")
+		}
+	}
+	is.True(other.upstream.totalRuns() > 0)
+}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"errors"
 	"sync"
 	"time"
@@ -11,33 +10,14 @@
 	"github.com/mulberrylink/mulberrylink/coordination/capacity"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
-	"github.com/mulberrylink/mulberrylink/transport/exchange"
 )
 
 const (
-	// busyProbeInterval is the age of the last load report at which an upstream with
-	// requests is probed. Disturbances of a host begin and end several times a second.
-	busyProbeInterval = 60 * time.Millisecond
-	// idleProbeInterval is the same for an upstream without requests.
-	idleProbeInterval = 500 * time.Millisecond
-	// maxLoadAge is the age up to which a load report is used to admit or place a request.
-	// An older one is refreshed first: a health probe of the upstream beside the node
-	// takes a millisecond, while a request on a disturbed host is late.
-	maxLoadAge = 35 * time.Millisecond
-	// refreshTimeout bounds the wait for a refreshed load report.
-	refreshTimeout = 20 * time.Millisecond
-	// firstReportTimeout is the same for the first response of an instance, without which the
-	// node does not know what the instance has stated to an earlier process of the node.
-	firstReportTimeout = 100 * time.Millisecond
-	// minProbeDelay is the minimum time between two checks of the age of the load report.
-	minProbeDelay = 5 * time.Millisecond
 	// warmupRateShare and warmupBurstShare are the shares of the rate and the burst of a
 	// cold upstream that are used. Requests that are admitted one after the other may
 	// reach the upstream together, when the node is short of processor time in between.
 	warmupRateShare  = 0.9
 	warmupBurstShare = 0.8
-	// probeTimeout bounds one health probe.
-	probeTimeout = 400 * time.Millisecond
 )
 
 // ErrUnknownService is the error for a heartbeat of a service that is not configured.
@@ -106,10 +86,20 @@
 			Int64("started", hb.Incarnation).Int64("known_started", cur.Incarnation).Msg("stale heartbeat ignored")
 		return nil
 	}
-	u.earlier, u.replaced = Heartbeat{}, Heartbeat{}
 	if !same && hb.Incarnation != 0 && hb.Incarnation < cur.Incarnation {
+		u.mu.Unlock()
+		running := hb.ID != cur.ID && u.isRunning(&cur)
+		u.mu.Lock()
+		if running || u.instance.ID != cur.ID {
+			u.mu.Unlock()
+			u.g.log.Info().Str("upstream", hb.ID).Str("known", cur.ID).Msg("late heartbeat of a former upstream ignored")
+			return nil
+		}
 		u.replaced = cur
+	} else {
+		u.replaced = Heartbeat{}
 	}
+	u.earlier = Heartbeat{}
 	hb.Draining = hb.Draining || same && cur.Draining
 	if !same {
 		u.deregistered = false
@@ -307,141 +297,3 @@
 		u.publish()
 	}
 }
-
-// requestProbe makes probeLoop send a probe at once.
-func (u *Upstream) requestProbe() {
-	select {
-	case u.probeNow <- struct{}{}:
-	default:
-	}
-}
-
-// refreshLoad probes the upstream when it has not sent a response to this process yet, or when
-// its load report is older than maxLoadAge. Concurrent requests share one probe.
-func (u *Upstream) refreshLoad(ctx context.Context) {
-	u.mu.Lock()
-	timeout := refreshTimeout
-	if !u.heard {
-		timeout = firstReportTimeout
-	}
-	if u.down || u.heard && (!u.reportsLoad || time.Since(u.loadReportedAt) < maxLoadAge) {
-		u.mu.Unlock()
-		return
-	}
-	done := u.refreshDone
-	if done == nil {
-		done = make(chan struct{})
-		u.refreshDone = done
-		go func() {
-			u.probe(context.WithoutCancel(ctx))
-			u.mu.Lock()
-			u.refreshDone = nil
-			u.mu.Unlock()
-			close(done)
-		}()
-	}
-	u.mu.Unlock()
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// probeLoop probes the upstream when no recent response has reported its load.
-func (u *Upstream) probeLoop(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-u.probeNow:
-			u.probe(ctx)
-		}
-		interval := idleProbeInterval
-		if !u.g.admission.Idle() {
-			interval = busyProbeInterval
-		}
-		u.mu.Lock()
-		age := time.Since(u.loadReportedAt)
-		u.mu.Unlock()
-		if age >= interval {
-			u.probe(ctx)
-			age = 0 // a failed probe is not repeated at once
-		}
-		timer.Reset(max(interval-age, minProbeDelay))
-	}
-}
-
-// probe sends one health probe and applies the response.
-func (u *Upstream) probe(ctx context.Context) {
-	hb := u.current()
-	active := u.g.active.Load()
-	if active == nil || hb.Addr == "" {
-		return
-	}
-	path := active.table.Services[hb.Service].HealthPath
-	if path == "" {
-		return
-	}
-	u.g.stats.count("probes")
-	resp, err := u.g.upstreamPool.Do(ctx, &exchange.Request{
-		Addr: hb.Addr, Method: "GET", Target: path, Host: hb.Addr, Deadline: time.Now().Add(probeTimeout),
-	})
-	var stageErr *exchange.StageError
-	switch {
-	case err == nil:
-	case errors.As(err, &stageErr) && stageErr.ConnectionRefused:
-		u.markDown(hb.ID)
-		return
-	default:
-		u.g.log.Debug().Str("upstream", hb.ID).Err(err).Msg("health probe failed")
-		return
-	}
-	defer resp.Close()
-	info := u.g.cfg.Headers.ParseResponse(resp.Status, resp.Header)
-	u.updateIdentity(&hb, resp.Status, info)
-	u.recordResponse(&hb, info, true)
-}
-
-// updateIdentity applies the identity in the response to a health probe. A status other
-// than 200 is ignored, because some upstreams report failures that they don't have.
-func (u *Upstream) updateIdentity(probed *Heartbeat, status int, info ResponseInfo) {
-	if status != 200 || info.UpstreamID == "" {
-		return
-	}
-	u.mu.Lock()
-	if u.instance.ID != probed.ID || u.instance.Addr != probed.Addr {
-		u.mu.Unlock()
-		return // a heartbeat arrived during the probe
-	}
-	changed := u.down || u.instance.ID != info.UpstreamID
-	if changed {
-		previousID := u.instance.ID
-		u.down, u.instanceSince = false, time.Now()
-		switch {
-		case previousID == info.UpstreamID:
-		case u.replaced.ID == info.UpstreamID:
-			// The heartbeats of the other instance were late. The service is that of this one.
-			u.instance, u.replaced = u.replaced, Heartbeat{}
-			u.deregistered = false
-			u.forgetResponses(true)
-		default:
-			u.instance.ID, u.instance.Seq, u.instance.Incarnation = info.UpstreamID, 0, 0
-			u.instance.Draining, u.deregistered = false, false
-			u.forgetResponses(true)
-		}
-		if u.instance.Slots == 0 {
-			u.instance.Slots = max(1, info.Slots)
-		}
-		u.g.log.Info().Str("upstream", info.UpstreamID).Str("before", previousID).Int("slots", u.instance.Slots).Msg("upstream answers")
-	}
-	u.mu.Unlock()
-	if changed {
-		u.publish()
-	}
-}
