roster: count a lost leader as unresponsive since it was last followed

Cause: a new leader counted a voter as unresponsive from its own election on, and carried out one change of the group every 200 ms.

Change: roster.Watch remembers when the host last followed the former leader. A completed change is followed by the next one at once.

--- a/controlhost/group.go
+++ b/controlhost/group.go
@@ -227,45 +227,44 @@
 func (h *Host) maintainGroup(ctx context.Context) {
 	ticker := time.NewTicker(rosterInterval)
 	defer ticker.Stop()
-	unresponsiveSince := make(map[uint64]time.Time)
+	var watch roster.Watch
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			r := h.replica.Load()
-			status := r.quorumHost.Status()
+			status := h.replica.Load().quorumHost.Status()
 			h.peerFeeds.update(ctx, h, &status, now)
-			if status.Role != quorum.Leader {
-				clear(unresponsiveSince)
-				continue
+			// The successors of several lost members must be voters within the same few seconds.
+			for range roster.MaxMembers {
+				if !h.changeGroup(ctx, &watch, time.Now()) {
+					break
+				}
 			}
-			h.applyAction(ctx, r, roster.Next(h.rosterMembers(&status, unresponsiveSince, now), h.joiners.active(now), h.cfg.GroupSize, now))
 		}
 	}
 }
 
-// rosterMembers returns the members for roster.Next. It updates unresponsiveSince, which maps the
-// identity of each unresponsive member to the time at which this host first saw it as such.
-func (h *Host) rosterMembers(status *quorum.MemberStatus, unresponsiveSince map[uint64]time.Time, now time.Time) []roster.Member {
-	var members []roster.Member
-	for _, m := range status.Members {
-		switch _, wasUnresponsive := unresponsiveSince[m.ID]; {
-		case !slices.Contains(status.Unresponsive, m.ID):
-			delete(unresponsiveSince, m.ID)
-		case !wasUnresponsive:
-			unresponsiveSince[m.ID] = now
-		}
-		members = append(members, roster.Member{ID: m.ID, Addr: m.Addr, Learner: m.Learner, UnresponsiveSince: unresponsiveSince[m.ID]})
+// changeGroup carries out the next change of the group if this host is the leader, and reports whether
+// one was completed.
+func (h *Host) changeGroup(ctx context.Context, watch *roster.Watch, now time.Time) bool {
+	r := h.replica.Load()
+	status := r.quorumHost.Status()
+	if status.Role != quorum.Leader {
+		watch.Follow(status.Leader, now)
+		return false
+	}
+	members := make([]roster.Member, len(status.Members))
+	for i, m := range status.Members {
+		members[i] = roster.Member{ID: m.ID, Addr: m.Addr, Learner: m.Learner}
 	}
-	return members
+	watch.Lead(members, status.Unresponsive, now)
+	action := roster.Next(members, h.joiners.active(now), h.cfg.GroupSize, now)
+	return action.Kind != roster.None && h.applyAction(ctx, r, action)
 }
 
-// applyAction carries out and logs one change of the group.
-func (h *Host) applyAction(ctx context.Context, r *replica, action roster.Action) {
-	if action.Kind == roster.None {
-		return
-	}
+// applyAction carries out and logs one change of the group. It reports whether the change is complete.
+func (h *Host) applyAction(ctx context.Context, r *replica, action roster.Action) bool {
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
 	var err error
@@ -276,6 +275,7 @@
 	}
 	h.cfg.Log.Info().Str("action", action.Kind.String()).Str("cause", action.Cause.String()).
 		Uint64("identity", action.ID).Str("host", action.Addr).Err(err).Msg("group of control hosts changed")
+	return err == nil
 }
 
 // peerFeeds holds the feeds to the other control hosts.
--- a/coordination/quorum/fuzz_test.go
+++ b/coordination/quorum/fuzz_test.go
@@ -59,6 +59,8 @@
 
 	reuseIdentity bool // a wiped host keeps its identity, which the checks must detect
 	slowSyncs     bool // some syncs take up to 4 s; this makes rare violations rarer
+	// The election timeouts of hosts that are started, the defaults if 0.
+	electionTimeoutMin, electionTimeoutMax time.Duration
 }
 
 // delivery is a message in transit between two hosts.
--- a/coordination/quorum/simnode_test.go
+++ b/coordination/quorum/simnode_test.go
@@ -83,7 +83,7 @@
 	n.machine = &registers{sim: n.sim, Values: map[string]string{}}
 	return Config{
 		FS: n.disk, Addr: n.addr, Machine: n.machine, Sender: n,
-		SnapshotEntries: uint64(10 + n.sim.rand.IntN(60)),
+		SnapshotEntries: uint64(10 + n.sim.rand.IntN(60)), ElectionTimeoutMin: n.sim.electionTimeoutMin, ElectionTimeoutMax: n.sim.electionTimeoutMax,
 	}.withDefaults()
 }
 
