controlhost: gauges of the group

Platform control had no metrics of its own.

Change: gauges for voting, leader, members, unresponsive members and commit index, and a counter of suspensions. The code that watches the status moves to status.go.

Evidence: TestGauges (new).

--- a/controlhost/controlhost_test.go
+++ b/controlhost/controlhost_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/mulberrylink/mulberrylink/controlhost"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
@@ -26,9 +27,10 @@
 
 // runningHost is a control host of a cluster.
 type runningHost struct {
-	host *controlhost.Host
-	dir  string
-	stop func()
+	host     *controlhost.Host
+	registry metrics.Registry
+	dir      string
+	stop     func()
 }
 
 func newCluster(t *testing.T, seedCount int) *cluster {
@@ -44,8 +46,9 @@
 // start opens a host with the given data directory and runs it.
 func (c *cluster) start(addr, dir string, bootstrap bool) *runningHost {
 	c.t.Helper()
+	registry := metrics.NewRegistry()
 	h, err := controlhost.Open(controlhost.Config{
-		Name: addr, Dir: dir, Addr: addr, Seeds: c.seeds, Bootstrap: bootstrap, GroupSize: 5,
+		Registry: registry, Name: addr, Dir: dir, Addr: addr, Seeds: c.seeds, Bootstrap: bootstrap, GroupSize: 5,
 		Validate: func(_ *document.State, ch *document.Change) error {
 			if len(ch.Lists) > 0 && ch.Lists[0].Name == "bad" {
 				return errInvalid
@@ -61,7 +64,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = h.Serve(ctx) }()
 	stopped := false
-	r := &runningHost{host: h, dir: dir}
+	r := &runningHost{host: h, registry: registry, dir: dir}
 	r.stop = func() {
 		if stopped {
 			return
@@ -108,6 +111,10 @@
 	return 0
 }
 
+func (r *runningHost) gauge(name string) int64 {
+	return metrics.GetOrRegisterGauge(name, r.registry).Value()
+}
+
 func newChange(base, version uint64) document.Change {
 	return document.Change{BaseVersion: base, Version: version, Lists: []document.List{{Name: "routes"}}}
 }
@@ -187,6 +194,29 @@
 	waitFor(t, 10*time.Second, "version at the returned host", func() bool { return returned.confirmedVersion() == 1 })
 }
 
+// Guards against gauges that hide a host outside of the group.
+func TestGauges(t *testing.T) {
+	c := newCluster(t, 3)
+	for _, addr := range c.seeds {
+		c.start(addr, t.TempDir(), true)
+	}
+	c.applyChange(newChange(0, 1))
+	waitFor(t, 5*time.Second, "members in the gauges", func() bool {
+		leaders := int64(0)
+		for _, r := range c.hosts {
+			if r.gauge("control.voting") != 1 || r.gauge("control.knows_leader") != 1 || r.gauge("control.members") != 3 || r.gauge("control.commit") == 0 {
+				return false
+			}
+			leaders += r.gauge("control.leads")
+		}
+		return leaders == 1
+	})
+	c.hosts[c.seeds[0]].stop()
+	c.hosts[c.seeds[1]].stop()
+	alone := c.hosts[c.seeds[2]]
+	waitFor(t, 5*time.Second, "no leader in the gauges", func() bool { return alone.gauge("control.knows_leader") == 0 && alone.gauge("control.leads") == 0 })
+}
+
 // Guards against results that mislead operators: a rejected change that takes effect, a repeated
 // change that is rejected, and two accepted changes with the same base version.
 func TestOutcomes(t *testing.T) {
--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -22,6 +22,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
@@ -67,6 +68,8 @@
 	// Validate returns an error if the change is invalid for the base state.
 	Validate func(base *document.State, c *document.Change) error
 	Log      *log.Logger
+	// Registry receives the gauges of the host. It may be nil.
+	Registry metrics.Registry
 }
 
 // Host is an open control host.
@@ -101,6 +104,9 @@
 
 // Open opens the data directory. With Config.Bootstrap, a seed formats it with the first group.
 func Open(cfg Config) (*Host, error) {
+	if cfg.Registry == nil {
+		cfg.Registry = metrics.NewRegistry()
+	}
 	h := &Host{cfg: cfg, nodes: directory.New(), suspects: suspect.New(suspect.Config{Clock: systemClock{}})}
 	h.pool = rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout})
 	if err := h.formatDataDir(); err != nil {
@@ -197,7 +203,7 @@
 	}
 	h.wg.Go(func() { h.joinLoop(ctx) })
 	h.wg.Go(func() { h.maintainGroup(ctx) })
-	h.wg.Go(func() { h.logLeaderChanges(ctx) })
+	h.wg.Go(func() { h.watchStatus(ctx) })
 	err = h.rpc.Serve(ctx, lis)
 	h.wg.Wait()
 	return err
@@ -246,33 +252,3 @@
 	}
 	return hosts
 }
-
-// logLeaderChanges logs each change of leader or term that this host sees, and when this host ceases
-// to take part in the group or takes part again.
-func (h *Host) logLeaderChanges(ctx context.Context) {
-	ticker := time.NewTicker(rosterInterval)
-	defer ticker.Stop()
-	var leader, term uint64
-	var failureLogged bool
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		status := h.replica.Load().quorumHost.Status()
-		if status.Leader != leader || status.Term != term {
-			h.cfg.Log.Info().Uint64("leader", status.Leader).Uint64("before", leader).Uint64("term", status.Term).
-				Str("role", status.Role.String()).Uint64("commit", status.Commit).Msg("leader changed")
-			leader, term = status.Leader, status.Term
-		}
-		switch failed := status.Err != nil; {
-		case failed && !failureLogged:
-			h.cfg.Log.Error().Err(status.Err).Msg("this host no longer takes part in the group")
-			failureLogged = true
-		case !failed && failureLogged:
-			h.cfg.Log.Info().Msg("this host takes part in the group again")
-			failureLogged = false
-		}
-	}
-}
