gateway: a node is ready only when callers can connect

Cause: Ready looked at the configuration only.

Evidence: TestNotReadyBeforeCallersCanConnect failed before.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -269,9 +269,11 @@
 // Load returns the current load of the upstream beside the node.
 func (g *Gateway) Load() placement.Load { return g.admission.Load() }
 
-// Ready reports whether callers should send requests to this node: it has a
-// configuration and isn't shutting down.
-func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.active.Load() != nil }
+// Ready reports whether callers should send requests to this node: it accepts their
+// connections, has a configuration and isn't shutting down.
+func (g *Gateway) Ready() bool {
+	return !g.leaving.Load() && g.active.Load() != nil && g.outbound.Listening()
+}
 
 // Serve runs the node until ctx ends or a listener fails.
 func (g *Gateway) Serve(ctx context.Context) error {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -13,8 +13,11 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/gateway"
 	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 )
@@ -244,6 +247,25 @@
 	}
 }
 
+// Guards against a node that says that it is ready although callers cannot connect.
+func TestNotReadyBeforeCallersCanConnect(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 4)
+	waitFor(t, 5*time.Second, "ready", n.g.Ready)
+	taken, err := net.Listen("tcp", testaddr.Free(t))
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	g := gateway.New(gateway.Config{
+		Name: "n2", OutboundAddr: taken.Addr().String(), InboundAddr: testaddr.Free(t), Seeds: []string{d.hubAddr}, Service: "archive",
+		UpstreamAddr: testaddr.Free(t), Headers: testHeaders{}, GracePeriod: time.Second,
+		DecodeTable: func(*document.State) (*routes.Table, error) { return d.table, nil }, Log: discardLogger(), Registry: metrics.NewRegistry(),
+	})
+	is.True(g.Serve(t.Context()) != nil)
+	time.Sleep(500 * time.Millisecond) // the configuration arrives meanwhile
+	is.True(!g.Ready())
+}
+
 // Guards against a node without a configuration that responds that a route does not exist.
 func TestNodeWithoutConfiguration(t *testing.T) {
 	is := is.New(t)
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -146,6 +146,13 @@
 	}
 }
 
+// Listening reports whether the server accepts connections.
+func (s *Server) Listening() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lis != nil && !s.closed
+}
+
 // Drain makes the server close each connection after its last response.
 func (s *Server) Drain() { s.draining.Store(true) }
 
