gateway: a stop waits for requests that arrive while connections are closed

Cause: a node that is idle 2.5 s after SIGTERM closes its connections and waits 0.3 s for requests that are being read.

Change: it waits until its exit, 0.3 s before the end of the grace period.

--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -70,7 +70,8 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithTimeout(ctx, shutdownMargin/2)
+	// Requests may have arrived since, or are being read.
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(shutdownMargin/2))
 	defer cancel()
 	for _, s := range []*ingress.Server{g.outbound, g.inbound} {
 		if err := s.Close(ctx); err != nil {
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -62,3 +64,29 @@
 	is.Equal((<-before).status, http.StatusOK)
 	<-stopped
 }
+
+// Guards against a request that is cut off because it arrived while the idle node closed its
+// connections.
+func TestStopWaitsForRequestsOnTheirWay(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	entry, other := d.addNode("n1", "d1", "desk", 4), d.addNode("n2", "d2", "archive", 4)
+	d.waitReady(entry)
+	other.upstream.setHandler(func(_ http.ResponseWriter, _ *http.Request) { time.Sleep(800 * time.Millisecond) })
+	conn, err := net.Dial("tcp", entry.outbound)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); entry.g.Shutdown(context.Background()) }()
+	time.Sleep(2300 * time.Millisecond)
+	_, err = fmt.Fprint(conn, "POST /write/1 HTTP/1.1\r\nHost: shop\r\n")
+	is.NoErr(err)
+	time.Sleep(350 * time.Millisecond) // the node closes idle connections after 2.5 s
+	_, err = fmt.Fprint(conn, "Test-Id: late\r\nTest-Wait: 2000\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	is.Equal(resp.StatusCode, http.StatusOK)
+	<-stopped
+}
