gateway: a refusal before the end of the body is answered and not cut off

Cause: the log line of the refusal has the time until the body was read. Without that it was the smallest duration, for which the log library panics.

Change: that time is the start of the request until the body has been read. The logger of the tests formats its lines.

Evidence: with that logger TestStopTakesOnlyRequestsThatFinish and the new TestUnfinishedBodyIsAnswered failed before.

--- a/gateway/bytes_test.go
+++ b/gateway/bytes_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -144,3 +145,22 @@
 		})
 	}
 }
+
+// Guards against a caller that gets no response when its body does not end in time, because writing
+// the log line failed.
+func TestUnfinishedBodyIsAnswered(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 4)
+	d.waitReady(n)
+	conn, err := net.Dial("tcp", n.outbound)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprint(conn, "POST /write/1 HTTP/1.1\r\nHost: shop\r\nTest-Id: a\r\nTest-Wait: 300\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+	is.NoErr(err) // the rest of the body never comes
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+	is.Equal(resp.Header.Get("Mulberry-Outcome"), "notrun")
+}
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -204,7 +204,10 @@
 
 func (systemClock) Now() time.Time { return time.Now() }
 
-func discardLogger() *log.Logger { return &log.Logger{Level: log.FatalLevel} }
+// discardLogger formats all lines, so that the tests also run what is logged.
+func discardLogger() *log.Logger {
+	return &log.Logger{Level: log.DebugLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+}
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -21,7 +21,7 @@
 	g                  *Gateway
 	id                 string // request identifier of the caller
 	start              time.Time
-	bodyReadAt         time.Time
+	bodyReadAt         time.Time // the start until the body has been read
 	active             *activeConfig
 	route              *routes.Route
 	service            string
@@ -53,7 +53,7 @@
 	q := &request{
 		g: g, id: g.cfg.Headers.RequestID(r.Header), start: now, active: active, route: route, service: g.splitter.Pick(route),
 		httpReq: r, header: ingress.EndToEndHeaders(r.Header), length: r.ContentLength,
-		objective: now.Add(objective), deadline: now.Add(timeout),
+		objective: now.Add(objective), deadline: now.Add(timeout), bodyReadAt: now,
 	}
 	q.serviceTime, q.serviceTimeAssumed = g.estimateServiceTime(route)
 	q.budgetRequest = &mulberrylink.Request{Service: q.service, Idempotent: route.Kind == routes.Safe, Deadline: q.deadline}
