gateway: repeat the probe that an ending upstream cuts off

Cause: the probe that tells a crash from a lost response was accepted by the ending upstream and then reset. That counted as no crash, so the second attempt of the request was no suspect.

TestCrashDuringTheProbe fails without the change.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -29,6 +29,9 @@
 	d       *deployment
 	crashes atomic.Int64
 	down    atomic.Int64 // upstreams that have crashed and are not back
+	// abortedProbes is the number of health probes that a crashing upstream ends before it refuses
+	// connections.
+	abortedProbes int32
 
 	mu    sync.Mutex
 	nodes []*node
@@ -65,9 +68,13 @@
 		}
 		if crashing.CompareAndSwap(false, true) {
 			f.down.Add(1)
+			incarnation := f.crashes.Add(1) + 1
+			u := f.node(i).upstream
+			u.probesToAbort.Store(f.abortedProbes)
+			u.ended.Store(f.abortedProbes == 0)
 			go func() {
 				defer f.down.Add(-1)
-				f.crash(i)
+				f.restartUpstream(i, incarnation)
 				crashing.Store(false)
 			}()
 		}
@@ -75,12 +82,17 @@
 	}
 }
 
-// crash ends the upstream of a node and starts a new incarnation at the same address.
-func (f *crashFleet) crash(i int) {
-	incarnation := f.crashes.Add(1) + 1
+// restartUpstream ends the upstream of a node once its health probes have been aborted, and starts a new
+// incarnation at the same address.
+func (f *crashFleet) restartUpstream(i int, incarnation int64) {
 	n := f.node(i)
+	for start := time.Now(); n.upstream.probesToAbort.Load() > 0 && time.Since(start) < 20*time.Millisecond; {
+		time.Sleep(100 * time.Microsecond)
+	}
+	n.upstream.ended.Store(true)
 	_ = n.upstream.srv.Close()
 	time.Sleep(crashedFor)
+	n.upstream.ended.Store(false)
 	n.upstream.setID(fmt.Sprintf("i-%s-%d", n.name, incarnation))
 	lis, err := net.Listen("tcp", n.upstream.addr)
 	if err != nil {
@@ -149,6 +161,18 @@
 	}
 }
 
+// Guards against a crash that is not recognized, because the probe that is to tell it from a lost
+// response was accepted by the ending upstream and cut off.
+func TestCrashDuringTheProbe(t *testing.T) {
+	is := is.New(t)
+	f := newCrashFleet(t, 5)
+	f.abortedProbes = 2
+	for i := range 6 {
+		f.sendCrashing("GET", "/read"+crashPath, 1, i)
+	}
+	is.True(f.crashes.Load() <= 2)
+}
+
 // Guards against copies that are sent through several nodes at once and crash more upstreams than
 // ran one before the first crash was known, and one more.
 func TestCopiesOfACrashingRequestReachFewUpstreams(t *testing.T) {
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,6 +62,8 @@
 	srv               *http.Server
 	stated            http.Header // added to all responses, also to health probes
 	probeDelay        time.Duration
+	probesToAbort     atomic.Int32 // health probes that end without a response
+	ended             atomic.Bool  // answers nothing, also on connections that are still open
 
 	mu         sync.Mutex
 	runs       map[string]int // runs by request identifier
@@ -72,6 +75,9 @@
 }
 
 func (u *fakeUpstream) serve(w http.ResponseWriter, r *http.Request) {
+	if u.ended.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	u.mu.Lock()
 	for name, values := range u.stated {
 		w.Header()[name] = values
@@ -81,6 +87,10 @@
 		u.mu.Lock()
 		delay := u.probeDelay
 		u.mu.Unlock()
+		if u.probesToAbort.Load() > 0 {
+			u.probesToAbort.Add(-1)
+			panic(http.ErrAbortHandler)
+		}
 		time.Sleep(delay)
 		u.mu.Lock()
 		defer u.mu.Unlock()
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -54,7 +54,7 @@
 		done = make(chan struct{})
 		u.refreshDone = done
 		go func() {
-			u.probe(context.WithoutCancel(ctx))
+			_ = u.probe(context.WithoutCancel(ctx)) // logged
 			u.mu.Lock()
 			u.refreshDone = nil
 			u.mu.Unlock()
@@ -81,7 +81,7 @@
 			return
 		case <-timer.C:
 		case <-u.probeNow:
-			u.probe(ctx)
+			_ = u.probe(ctx) // logged
 		}
 		interval := idleProbeInterval
 		if !u.g.admission.Idle() {
@@ -91,8 +91,8 @@
 		age := time.Since(u.loadReportedAt)
 		u.mu.Unlock()
 		if age >= interval {
-			u.probe(ctx)
-			age = 0 // a failed probe is not repeated at once
+			_ = u.probe(ctx) // logged
+			age = 0          // a failed probe is not repeated at once
 		}
 		timer.Reset(max(interval-age, minProbeDelay))
 	}
@@ -128,26 +128,27 @@
 	return u.g.cfg.Headers.ParseResponse(resp.Status, resp.Header).UpstreamID == hb.ID
 }
 
-// probe sends one health probe and applies the response.
-func (u *Upstream) probe(ctx context.Context) {
+// probe sends one health probe and applies the response. It returns the error of a probe without one.
+func (u *Upstream) probe(ctx context.Context) error {
 	hb := u.current()
 	resp, err := u.sendProbe(ctx, &hb)
 	var stageErr *exchange.StageError
 	switch {
 	case err == nil:
 	case errors.Is(err, errNoHealthPath):
-		return
+		return err
 	case errors.As(err, &stageErr) && stageErr.ConnectionRefused:
 		u.markDown(hb.ID)
-		return
+		return err
 	default:
 		u.g.log.Debug().Str("upstream", hb.ID).Err(err).Msg("health probe failed")
-		return
+		return err
 	}
 	defer resp.Close()
 	info := u.g.cfg.Headers.ParseResponse(resp.Status, resp.Header)
 	u.updateIdentity(&hb, resp.Status, info)
 	u.recordResponse(&hb, info, true)
+	return nil
 }
 
 // updateIdentity applies the identity in the response to a health probe. A status other
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/mulberrylink/mulberrylink"
@@ -152,6 +155,23 @@
 	startedAt time.Time // of the last probe
 }
 
+// probeUntilDecided probes the upstream until it answers or refuses the connection. A process that ends
+// may still accept a connection and cut it off.
+func (u *Upstream) probeUntilDecided(ctx context.Context) {
+	for pause := time.Millisecond; cutOff(u.probe(ctx)); pause *= 2 {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// cutOff reports whether the other end closed or reset the connection of an exchange.
+func cutOff(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // checkForCrash probes the upstream after a request to one of its instances has failed, which
 // records a crash if nothing listens at its address, or if another instance does.
 func (u *Upstream) checkForCrash(ctx context.Context, upstreamID string, failedAt time.Time) {
@@ -163,7 +183,7 @@
 		c.startedAt = time.Now()
 		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 		defer cancel()
-		u.probe(ctx)
+		u.probeUntilDecided(ctx)
 	}
 	if u.current().ID != upstreamID {
 		u.g.recordCrash(upstreamID, time.Now())
