--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -87,6 +87,7 @@
 		return nil
 	}
 	if !same && hb.Incarnation != 0 && hb.Incarnation < cur.Incarnation {
+		// Two heartbeats of a former instance may have been held up and arrive together.
 		u.mu.Unlock()
 		running := hb.ID != cur.ID && u.isRunning(&cur)
 		u.mu.Lock()
--- a/state/storage/storagetest/disk.go
+++ b/state/storage/storagetest/disk.go
@@ -95,10 +95,9 @@
 	return d.Fail
 }
 
-// Crash simulates a power loss: each change of the directory that was not synced survives or is lost,
-// independent of the others. Of the writes
-// to a file that were not synced, each survives, is lost or is torn, independent of the others. Lost
-// bytes before others that survive are zero. Open files become unusable.
+// Crash simulates a power loss. Each change of the directory that was not synced survives or is lost,
+// and each write to a file that was not synced survives, is lost or is torn, independent of the others.
+// Lost bytes before others that survive are zero. Open files become unusable.
 func (d *Disk) Crash() {
 	d.crashes++
 	for _, name := range sortedNames(d.files, d.syncedFiles) {
