tests: the read after a restart has one upstream to choose

Cause: the test wanted a read to reach the restarted node within 650 ms, but sent the reads one after the other and with a second upstream beside. Beside load the first read arrives before the restarted node has started (502); from then on the entry node prefers the second upstream, and no read reaches the first one. Seen with a trace: the failed run has 502 at 20 ms, then 200 from the second upstream for 3 s.

Change: the second upstream starts after the reads, and the reads overlap. The checks and the bound are the same.

--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -123,13 +123,18 @@
 	toFirst.target = inbound
 	toFirst.mu.Unlock()
 	d.startNode(first.name, first.domain, inbound, toFirst.lis.Addr().String(), first.upstream).announce(first.heartbeat)
-	second := d.addNode("n3", "d1", "archive", 4)
+	// The reads overlap because the pool may hold another connection that is cut. The second upstream
+	// starts after them, so that they have one choice only.
+	var reads sync.WaitGroup
 	waitFor(t, 650*time.Millisecond, "response of the restarted node", func() bool {
-		entry.send("GET", "/read/1", "r", "")
+		reads.Go(func() { entry.send("GET", "/read/1", "r", "") })
 		return first.upstream.runsOf("r") > 0
 	})
+	second := d.addNode("n3", "d1", "archive", 4)
+	waitFor(t, 650*time.Millisecond, "second upstream known", func() bool { return len(entry.g.ServiceNodes("archive")) == 2 })
 
 	resp := <-lost
+	reads.Wait()
 	is.Equal(resp.status, http.StatusBadGateway)
 	is.Equal(first.upstream.runsOf("w")+second.upstream.runsOf("w"), 1)
 }
