gateway, transport: idle connections never use up the descriptors

What callers saw: a node whose descriptors are used up, for example by callers that keep connections open without using them, accepts no further connection while it states that it is ready. New callers wait until their time is over.

Cause: nothing divides the descriptors of the process. An accept that fails is repeated until someone else closes a connection. The pool of connections to other nodes bounds the idle ones of one address, not of all, and looks for expired ones only when another one becomes idle.

Change: callers, other nodes and idle connections to other nodes get a share of the descriptors (gateway/descriptors.go). Above its share, the longest idle connections are closed; requests in flight are never touched. When an accept or a dial still finds no descriptor, idle connections to other nodes are closed first, then idle ones of other nodes, then of callers. A node that cannot accept is not ready.

TestIdleConnectionsAreClosedWithoutFurtherRequests and TestLongestIdleConnectionsAreClosedFirst failed on the old pool and pass.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -233,15 +233,23 @@
 		DialTimeout: dialTimeout, MaxIdlePerAddr: upstreamMaxIdleConns, IdleTimeout: upstreamIdleTimeout, BufferBytes: maxBufferedResponse,
 		MaxUndelimitedBytes: maxUndelimitedResponse,
 		OnConnect:           func() { g.stats.count("upstream_connections") },
+		OnExhausted:         g.freeDescriptors,
+	})
+	budget, err := newDescriptorBudget()
+	if err != nil {
+		g.log.Warn().Err(err).Msg("limit of open descriptors unknown")
+	}
+	g.peerPool = exchange.NewPool(exchange.Config{
+		DialTimeout: dialTimeout, MaxIdlePerAddr: peerMaxIdleConns, MaxIdle: budget.idlePeers, IdleTimeout: peerIdleTimeout, BufferBytes: maxBufferedResponse,
+		MaxUndelimitedBytes: maxUndelimitedResponse, OnExhausted: g.freeDescriptors,
 	})
-	g.peerPool = exchange.NewPool(exchange.Config{DialTimeout: dialTimeout, MaxIdlePerAddr: peerMaxIdleConns, IdleTimeout: peerIdleTimeout, BufferBytes: maxBufferedResponse, MaxUndelimitedBytes: maxUndelimitedResponse})
 	g.feed = feed.NewClient(feed.ClientConfig{
 		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout}), Seeds: cfg.Seeds,
 		Directory: g.directory, Suspects: g.suspects, OnState: g.applyState, NodeName: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	g.upstream = newUpstream(g)
-	g.outbound = ingress.New(ingress.Config{Addr: cfg.OutboundAddr, Handler: g.serveCaller, Log: cfg.Log})
-	g.inbound = ingress.New(ingress.Config{Addr: cfg.InboundAddr, Handler: g.servePeer, Log: cfg.Log})
+	g.outbound = ingress.New(ingress.Config{Addr: cfg.OutboundAddr, Handler: g.serveCaller, MaxConns: budget.callers, OnExhausted: g.freeDescriptors, Log: cfg.Log})
+	g.inbound = ingress.New(ingress.Config{Addr: cfg.InboundAddr, Handler: g.servePeer, MaxConns: budget.inbound, OnExhausted: g.freeDescriptors, Log: cfg.Log})
 	return g
 }
 
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,9 +31,12 @@
 	// else detects a connection whose packets are dropped silently.
 	tcpUserTimeout       = 1500 * time.Millisecond
 	tcpKeepAliveInterval = time.Second
-	// sweepInterval is how often connections that have been idle for too long are closed, also those
-	// to addresses that are not used any more.
-	sweepInterval = 5 * time.Second
+	// maxSweepInterval bounds how often connections that have been idle for too long are closed, also
+	// those to addresses that are not used any more.
+	maxSweepInterval = 5 * time.Second
+	// shedDivisor is the inverse of the share of the idle connections that are closed when there are
+	// too many.
+	shedDivisor = 16
 )
 
 // Config holds the limits of a Pool.
@@ -41,6 +46,9 @@
 	// MaxIdlePerAddr is the number of idle connections kept per address. With 0, every
 	// connection is closed after its exchange.
 	MaxIdlePerAddr int
+	// MaxIdle is the number of idle connections kept to all addresses. With 0, only MaxIdlePerAddr
+	// applies.
+	MaxIdle int
 	// IdleTimeout bounds how long an idle connection is kept.
 	IdleTimeout time.Duration
 	// BufferBytes is the number of bytes of a response body that Do reads into
@@ -51,15 +59,19 @@
 	MaxUndelimitedBytes int64
 	// OnConnect is called for each new connection. It may be nil.
 	OnConnect func()
+	// OnExhausted is called when a connection can't be opened because the process has run out of
+	// descriptors. It frees some; the connection is then tried once more. It may be nil.
+	OnExhausted func()
 }
 
 // Pool is a pool of idle connections, by address. It is safe for concurrent use.
 type Pool struct {
 	cfg Config
 
-	mu        sync.Mutex
-	idle      map[string][]*conn // by address, most recently used last
-	nextSweep time.Time          // when the idle connections of all addresses are checked again
+	mu       sync.Mutex
+	idle     map[string][]*conn // by address, most recently used last
+	idleSize int                // number of idle connections
+	sweeping bool               // a call of sweep is scheduled
 }
 
 type conn struct {
@@ -100,7 +112,7 @@
 	for n := len(list); n > 0; n = len(list) {
 		c := list[n-1]
 		if now.Before(c.reusableUntil) && (maxIdle == 0 || now.Sub(c.idleSince) <= maxIdle) {
-			p.idle[addr] = list[:n-1]
+			p.setIdle(addr, list[:n-1])
 			return c
 		}
 		if now.Before(c.reusableUntil) {
@@ -108,18 +120,27 @@
 		}
 		_ = c.Close()
 		list = list[:n-1]
-		p.idle[addr] = list
+		p.setIdle(addr, list)
 	}
 	return nil
 }
 
+// setIdle replaces the idle connections of an address. The caller holds mu.
+func (p *Pool) setIdle(addr string, list []*conn) {
+	p.idleSize += len(list) - len(p.idle[addr])
+	if len(list) == 0 {
+		delete(p.idle, addr)
+		return
+	}
+	p.idle[addr] = list
+}
+
 func (p *Pool) putIdle(c *conn) {
 	now := time.Now()
 	c.idleSince = now
 	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sweep(now)
 	list := p.idle[c.addr]
 	for len(list) > 0 && !now.Before(list[0].reusableUntil) {
 		_ = list[0].Close()
@@ -133,18 +154,27 @@
 		_ = list[0].Close()
 		list = list[1:]
 	}
-	p.idle[c.addr] = append(list, c)
+	p.setIdle(c.addr, append(list, c))
+	if p.cfg.MaxIdle > 0 && p.idleSize > p.cfg.MaxIdle {
+		p.closeLongestIdle()
+	}
+	if !p.sweeping {
+		p.sweeping = true
+		time.AfterFunc(p.sweepInterval(), p.sweep)
+	}
 }
 
-// sweep closes the idle connections whose time is over, at most once per sweepInterval or idle
-// timeout. The caller holds mu.
-func (p *Pool) sweep(now time.Time) {
-	if now.Before(p.nextSweep) {
-		return
-	}
-	p.nextSweep = now.Add(min(sweepInterval, p.cfg.IdleTimeout))
+// sweepInterval returns how often idle connections are checked.
+func (p *Pool) sweepInterval() time.Duration { return min(maxSweepInterval, p.cfg.IdleTimeout) }
+
+// sweep closes the idle connections whose time is over, and schedules the next call while others
+// are left.
+func (p *Pool) sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for addr, list := range p.idle {
-		kept := list[:0]
+		var kept []*conn
 		for _, c := range list {
 			if now.Before(c.reusableUntil) {
 				kept = append(kept, c)
@@ -152,11 +182,11 @@
 			}
 			_ = c.Close()
 		}
-		clear(list[len(kept):])
-		p.idle[addr] = kept
-		if len(kept) == 0 {
-			delete(p.idle, addr)
-		}
+		p.setIdle(addr, kept)
+	}
+	p.sweeping = len(p.idle) > 0
+	if p.sweeping {
+		time.AfterFunc(p.sweepInterval(), p.sweep)
 	}
 }
 
@@ -164,13 +194,42 @@
 func (p *Pool) CloseIdle(addr string) {
 	p.mu.Lock()
 	list := p.idle[addr]
-	delete(p.idle, addr)
+	p.setIdle(addr, nil)
 	p.mu.Unlock()
 	for _, c := range list {
 		_ = c.Close()
 	}
 }
 
+// IdleSize returns the number of idle connections.
+func (p *Pool) IdleSize() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.idleSize
+}
+
+// CloseLongestIdle closes a part of the idle connections, the longest idle ones. It reports whether
+// there was one.
+func (p *Pool) CloseLongestIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closeLongestIdle()
+}
+
+// closeLongestIdle implements CloseLongestIdle. The caller holds mu.
+func (p *Pool) closeLongestIdle() bool {
+	all := make([]*conn, 0, p.idleSize)
+	for _, list := range p.idle {
+		all = append(all, list...)
+	}
+	slices.SortFunc(all, func(a, b *conn) int { return a.idleSince.Compare(b.idleSince) })
+	for _, c := range all[:min(len(all), 1+len(all)/shedDivisor)] {
+		_ = c.Close()
+		p.setIdle(c.addr, p.idle[c.addr][1:]) // the lists are in the same order
+	}
+	return len(all) > 0
+}
+
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	d := net.Dialer{
 		Timeout:         p.cfg.DialTimeout,
@@ -184,6 +243,10 @@
 		},
 	}
 	nc, err := d.DialContext(ctx, "tcp", addr)
+	if isExhausted(err) && p.cfg.OnExhausted != nil {
+		p.cfg.OnExhausted()
+		nc, err = d.DialContext(ctx, "tcp", addr)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -198,6 +261,11 @@
 	return c, nil
 }
 
+// isExhausted reports whether the process or the system has run out of descriptors.
+func isExhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // usable reports whether an idle connection is open and has no unread bytes, which
 // would belong to no request.
 func (c *conn) usable() bool {
--- a/transport/ingress/conn.go
+++ b/transport/ingress/conn.go
@@ -31,6 +31,8 @@
 	inFlight     int       // requests without a complete response
 	reading      bool      // the goroutine reads a request and sets the read deadline itself
 	closing      bool      // no further requests are accepted
+	closedIdle   bool      // it is closed because it was idle; no response is on its way
+	idleAt       time.Time // when the connection became idle, zero while it is not
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -98,6 +100,12 @@
 // read. It then closes the write side and keeps reading for up to lingerTimeout. If the
 // caller disconnects before the last response, it cancels the requests.
 func (c *conn) awaitClose(lastDone <-chan struct{}, cancel context.CancelFunc) {
+	c.mu.Lock()
+	closedIdle := c.closedIdle
+	c.mu.Unlock()
+	if closedIdle {
+		return
+	}
 	c.input.N = math.MaxInt64
 	_ = c.nc.SetReadDeadline(time.Time{}) // the next read reports a failure
 	callerDisconnected := make(chan struct{})
@@ -143,6 +151,7 @@
 	}
 	c.mu.Lock()
 	c.reading = true
+	c.idleAt = time.Time{}
 	c.mu.Unlock()
 	_ = c.nc.SetReadDeadline(time.Now().Add(headerReadTimeout)) // the next read reports a failure
 	c.input.N = maxHeaderBytes
@@ -196,6 +205,7 @@
 // closed gets a deadline in the past. c.mu must be held.
 func (c *conn) updateReadDeadline() {
 	var deadline time.Time
+	c.idleAt = time.Time{}
 	switch {
 	case c.reading:
 		return
@@ -204,7 +214,8 @@
 		c.closing = true
 		deadline = pastDeadline
 	default:
-		deadline = time.Now().Add(idleTimeout)
+		c.idleAt = time.Now()
+		deadline = c.idleAt.Add(idleTimeout)
 	}
 	_ = c.nc.SetReadDeadline(deadline) // the next read reports a failure
 }
@@ -262,13 +273,30 @@
 	return c.closing && c.lastResponse == w
 }
 
-// closeIfIdle closes the connection if it is idle. c.server.closing must be set.
-func (c *conn) closeIfIdle() {
+// refreshReadDeadline applies a change of c.server.closing, which closes an idle connection.
+func (c *conn) refreshReadDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateReadDeadline()
 }
 
+// idleSince returns when the connection became idle, and whether it is.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleAt, !c.idleAt.IsZero()
+}
+
+// closeIfIdle closes the connection if it is idle.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idleAt.IsZero() {
+		c.closing, c.closedIdle = true, true
+		c.updateReadDeadline()
+	}
+}
+
 // abort closes the connection and cancels its requests at once.
 func (c *conn) abort() {
 	c.mu.Lock()
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -29,8 +29,10 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,6 +62,11 @@
 	// acceptRetryDelay is the delay after a failed accept, which usually means that
 	// the process is out of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
+	// acceptFailureLogInterval is the minimum time between two log lines about failed accepts.
+	acceptFailureLogInterval = time.Second
+	// shedDivisor is the inverse of the share of the connections that are closed when there are too
+	// many.
+	shedDivisor = 16
 )
 
 // Config configures a Server.
@@ -67,7 +74,13 @@
 	// Addr is the listen address.
 	Addr    string
 	Handler http.HandlerFunc
-	Log     *log.Logger
+	// MaxConns is the number of open connections above which the longest idle ones are closed.
+	// With 0, none is closed for that reason. Connections with requests in flight stay open.
+	MaxConns int
+	// OnExhausted is called when a connection can't be accepted because the process has run out of
+	// descriptors. It frees some. It may be nil.
+	OnExhausted func()
+	Log         *log.Logger
 }
 
 // Server is an HTTP/1.1 server that listens on one address.
@@ -76,6 +89,8 @@
 	draining atomic.Bool
 	closing  atomic.Bool // idle connections are closed
 	inFlight atomic.Int64
+	// acceptFailedAt is the time of the last failed accept.
+	acceptFailedAt atomic.Pointer[time.Time]
 
 	mu        sync.Mutex
 	lis       net.Listener
@@ -121,12 +136,23 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		default:
-			s.cfg.Log.Warn().Str("addr", s.cfg.Addr).Err(err).Msg("failed to accept a connection; retrying")
+			s.handleAcceptError(err)
 			time.Sleep(acceptRetryDelay)
 		}
 	}
 }
 
+// handleAcceptError frees descriptors when the process has run out of them.
+func (s *Server) handleAcceptError(err error) {
+	now := time.Now()
+	if last := s.acceptFailedAt.Swap(&now); last == nil || now.Sub(*last) > acceptFailureLogInterval {
+		s.cfg.Log.Warn().Str("addr", s.cfg.Addr).Err(err).Msg("failed to accept a connection; retrying")
+	}
+	if s.cfg.OnExhausted != nil && (errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)) {
+		s.cfg.OnExhausted()
+	}
+}
+
 func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,9 +160,39 @@
 		return false
 	}
 	s.conns[c] = struct{}{}
+	if s.cfg.MaxConns > 0 && len(s.conns) > s.cfg.MaxConns {
+		s.closeLongestIdle()
+	}
 	return true
 }
 
+// CloseLongestIdle closes a part of the connections, those that have been idle for the longest time.
+// It reports whether one was idle.
+func (s *Server) CloseLongestIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closeLongestIdle()
+}
+
+// closeLongestIdle implements CloseLongestIdle. The caller holds mu.
+func (s *Server) closeLongestIdle() bool {
+	type idleConn struct {
+		*conn
+		since time.Time
+	}
+	var idle []idleConn
+	for c := range s.conns {
+		if since, ok := c.idleSince(); ok {
+			idle = append(idle, idleConn{c, since})
+		}
+	}
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	for _, c := range idle[:min(len(idle), 1+len(s.conns)/shedDivisor)] {
+		c.closeIfIdle()
+	}
+	return len(idle) > 0
+}
+
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -148,6 +204,9 @@
 
 // Listening reports whether the server accepts connections.
 func (s *Server) Listening() bool {
+	if at := s.acceptFailedAt.Load(); at != nil && time.Since(*at) < 2*acceptRetryDelay {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.lis != nil && !s.closed
@@ -182,7 +241,7 @@
 		err = lis.Close()
 	}
 	for _, c := range conns {
-		c.closeIfIdle()
+		c.refreshReadDeadline()
 	}
 	select {
 	case <-s.allClosed:
