gateway: forget nodes that have left

What is at stake: a node process that outlives many other nodes keeps, for each of them, its load, its failure rate, the identifier of its process and idle connections, and for each route or service that was ever configured an estimate and a retry budget. Descriptors and memory grow with the number of replacements.

Cause: these tables have no end. The directory drops a node 30 s after it has left, and nothing else hears of it.

Requests in flight stay counted.

--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -285,6 +286,21 @@
 	return 0
 }
 
+// Retain drops what is known of the upstreams for which keep returns false, apart from those with
+// requests in flight.
+func (b *Balancer) Retain(keep func(name string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.upstreams, func(name string, s *upstreamState) bool { return s.inFlight == 0 && !keep(name) })
+}
+
+// Size returns the number of upstreams of which something is known.
+func (b *Balancer) Size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.upstreams)
+}
+
 // RecordLoad records a load report. It also shows that the node is reachable.
 func (b *Balancer) RecordLoad(name string, load Load, now time.Time) {
 	b.mu.Lock()
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -172,3 +172,20 @@
 	miss, _ = placement.EstimateCompletion(now, 0, 80*time.Millisecond, 7, now.Add(100*time.Millisecond), now.Add(200*time.Millisecond))
 	is.True(miss > 0.6)
 }
+
+// Guards against a table of upstreams that grows without bound, and against requests in flight that
+// are not counted any more.
+func TestForgottenUpstreams(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	for _, name := range []string{"own", "near", "far"} {
+		b.RecordLoad(name, placement.Load{Slots: 6, Slowdown: 1}, start)
+	}
+	b.RequestSent("near")
+	b.Retain(func(name string) bool { return name == "own" })
+	is.Equal(b.Size(), 2)
+	is.Equal(b.InFlight("near"), 1)
+	b.RequestEnded("near")
+	b.Retain(func(name string) bool { return name == "own" })
+	is.Equal(b.Size(), 1)
+}
--- a/coordination/retry/budgets.go
+++ b/coordination/retry/budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"sync"
 	"time"
 
@@ -118,6 +119,13 @@
 	return true
 }
 
+// Retain drops the budgets of the services for which keep returns false.
+func (b *Budgets) Retain(keep func(service string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.byService, func(service string, _ *Budget) bool { return !keep(service) })
+}
+
 // RecordLatency records the latency of an attempt that returned a response.
 func (b *Budgets) RecordLatency(r *mulberrylink.Request, took time.Duration) {
 	b.budget(r.Service).recordLatency(took, b.cfg.Clock.Now())
--- a/coordination/routes/split.go
+++ b/coordination/routes/split.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -40,6 +41,13 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
+// Retain drops the sequences of the routes for which keep returns false.
+func (s *Splitter) Retain(keep func(route string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.positions, func(route string, _ float64) bool { return !keep(route) })
+}
+
 // next returns the next position in [0, 1) of the sequence of a route.
 func (s *Splitter) next(name string) float64 {
 	s.mu.Lock()
--- a/coordination/routes/table.go
+++ b/coordination/routes/table.go
@@ -13,6 +13,7 @@
 	Limits   Limits
 
 	byHost map[string][]*Route // longest prefix first
+	names  map[string]bool     // of the routes
 }
 
 // NewTable returns a table of the routes in list and of the services that they refer to.
@@ -21,11 +22,13 @@
 		Version: version, Limits: limits,
 		Services: make(map[string]Service, len(services)),
 		byHost:   make(map[string][]*Route),
+		names:    make(map[string]bool, len(list)),
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
 	for i := range list {
+		t.names[list[i].Name] = true
 		host := strings.ToLower(list[i].Host)
 		t.byHost[host] = append(t.byHost[host], &list[i])
 	}
@@ -35,6 +38,9 @@
 	return t
 }
 
+// HasRoute reports whether the table has a route of that name.
+func (t *Table) HasRoute(name string) bool { return t.names[name] }
+
 // Match returns the route of the host with the longest prefix of the path, or nil if there is
 // none. The host may include a port and the path a query.
 func (t *Table) Match(host, path string) *Route {
--- a/coordination/servicetime/estimator.go
+++ b/coordination/servicetime/estimator.go
@@ -10,6 +10,7 @@
 package servicetime
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -52,6 +53,13 @@
 	e.means[route] = mean + observationWeight*(min(seconds, 4*mean)-mean)
 }
 
+// Retain drops the estimates of the routes for which keep returns false.
+func (e *Estimator) Retain(keep func(route string) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.means, func(route string, _ float64) bool { return route != allRoutes && !keep(route) })
+}
+
 // Mean returns the estimate of a route. Without observations of the route, it returns the
 // average over all routes.
 func (e *Estimator) Mean(route string) time.Duration {
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -278,6 +278,7 @@
 	upstream  *fakeUpstream
 	outbound  string
 	heartbeat gateway.Heartbeat
+	registry  metrics.Registry
 }
 
 func (d *deployment) addNode(name, domain, service string, slots int) *node {
@@ -335,13 +336,13 @@
 // startNode starts a node beside an upstream.
 func (d *deployment) startNode(name, domain, inbound, advertised string, u *fakeUpstream) *node {
 	d.t.Helper()
-	n := &node{name: name, domain: domain, upstream: u, inbound: inbound, outbound: testaddr.Free(d.t)}
+	n := &node{name: name, domain: domain, upstream: u, inbound: inbound, outbound: testaddr.Free(d.t), registry: metrics.NewRegistry()}
 	n.g = gateway.New(gateway.Config{
 		Name: name, Domain: domain, OutboundAddr: n.outbound, InboundAddr: inbound, AdvertisedAddr: advertised, Seeds: []string{d.hubAddr},
 		Service: u.service, UpstreamAddr: u.addr, Headers: testHeaders{}, GracePeriod: 6 * time.Second,
 		DecodeTable: func(*document.State) (*routes.Table, error) { return d.table, nil },
 		Tuning:      gateway.Tuning{CrossDomainRTT: 4 * time.Millisecond, TransferCostPerKiB: 0.02, RetryPercent: 50, RetryRefillInterval: time.Second, MaxRetryTokens: 3, WarmupRateScale: 1, NonIdempotentValue: 2},
-		Log:         discardLogger(), Registry: metrics.NewRegistry(),
+		Log:         discardLogger(), Registry: n.registry,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -290,6 +290,7 @@
 	go func() { serveErr <- g.inbound.Serve(ctx) }()
 	go g.feed.Run(ctx)
 	go g.upstream.probeLoop(ctx)
+	go g.forgetLoop(ctx)
 	g.upstream.publish()
 	select {
 	case err := <-serveErr:
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -156,6 +156,16 @@
 
 func (e *peerEpochs) set(node, epoch string) { e.byNode.Store(node, epoch) }
 
+// retain drops the nodes for which keep returns false.
+func (e *peerEpochs) retain(keep func(node string) bool) {
+	e.byNode.Range(func(k, _ any) bool {
+		if node, ok := k.(string); ok && !keep(node) {
+			e.byNode.Delete(k)
+		}
+		return true
+	})
+}
+
 func (e *peerEpochs) get(node string) string {
 	v, _ := e.byNode.Load(node)
 	s, _ := v.(string)
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -201,6 +201,21 @@
 	}
 }
 
+// RetainIdle closes the idle connections to the addresses for which keep returns false.
+func (p *Pool) RetainIdle(keep func(addr string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		if keep(addr) {
+			continue
+		}
+		for _, c := range list {
+			_ = c.Close()
+		}
+		p.setIdle(addr, nil)
+	}
+}
+
 // IdleSize returns the number of idle connections.
 func (p *Pool) IdleSize() int {
 	p.mu.Lock()
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -212,6 +212,13 @@
 	return s.lis != nil && !s.closed
 }
 
+// OpenConns returns the number of open connections.
+func (s *Server) OpenConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Drain makes the server close each connection after its last response.
 func (s *Server) Drain() { s.draining.Store(true) }
 
