gateway: expired outcomes are remembered for each process

What callers could see: a non-idempotent request that had run is stated as "does not run", and runs again elsewhere. Found by reading.

Cause: a node remembers, for each entry node, the last exchange of its latest process whose outcome has expired. A request of the former process that ends after one of its successor overwrites that, and an expired exchange of the successor counts as never seen.

Change: the mark is kept for each process, and dropped 10 minutes after its last change; before, marks of entry nodes that had left were kept for ever.

Evidence: TestExpiredOutcomesOfTwoProcesses failed before and passes.

--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -183,3 +183,19 @@
 	is.Equal(n.sendHop(t, "GET", hop.ResolvePath+"entry-1-9c-1", "").RejectReason, "barred") // of another process
 	is.Equal(n.sendHop(t, "POST", "/write/1", "entry-1-7a-4").RejectReason, "")
 }
+
+// Guards against an expired outcome that is stated as "does not run" because a late request of the
+// former process of the entry node expired after it.
+func TestExpiredOutcomesOfTwoProcesses(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 4)
+	d.waitReady(n)
+	for _, id := range []string{"entry-1-7a-1", "entry-1-9c-1", "entry-1-7a-2"} {
+		is.Equal(n.sendHop(t, "POST", "/write/1", id).RejectReason, "")
+	}
+	time.Sleep(5100 * time.Millisecond)
+	for _, id := range []string{"entry-1-7a-1", "entry-1-9c-1", "entry-1-7a-2"} {
+		is.True(n.sendHop(t, "GET", hop.ResolvePath+id, "").ExchangeFailed)
+	}
+}
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -353,7 +353,7 @@
 func (s *requestState) newRequestMeta(a *attempt, now time.Time) hop.RequestMeta {
 	req := s.req
 	meta := hop.RequestMeta{
-		ExchangeID: exchangeID{node: req.g.cfg.Name, epoch: req.g.epoch, seq: req.g.exchangeSeq.Add(1)}.String(),
+		ExchangeID: exchangeID{process: process{node: req.g.cfg.Name, epoch: req.g.epoch}, seq: req.g.exchangeSeq.Add(1)}.String(),
 		Service:    req.service, Route: req.route.Name, Kind: req.route.Kind, CallerService: req.g.upstream.current().Service,
 		Priority: req.route.Priority, Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
 		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint),
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,10 @@
 // loss.
 const outcomeRetention = 5 * time.Second
 
+// expiryRetention is how long the last expired exchange of a process is remembered. Requests end
+// long before, also those of an entry node that was suspended.
+const expiryRetention = 10 * time.Minute
+
 // outcomeRecord is the outcome of one exchange on the admitting node.
 type outcomeRecord struct {
 	done chan struct{}
@@ -29,20 +34,29 @@
 	mu    sync.Mutex
 	byID  map[string]*outcomeRecord
 	order []string // identifiers, the oldest first
-	// expired holds, for each entry node, the last exchange of its latest process whose record has
-	// expired. A former process has ended, so nobody asks for its exchanges.
-	expired map[string]exchangeID
+	// expired holds, for each process of an entry node, the last exchange whose record has expired.
+	expired map[process]expiry
+	// nextPrune is when old entries of expired are dropped.
+	nextPrune time.Time
 }
 
 func newOutcomeStore() *outcomeStore {
-	return &outcomeStore{byID: make(map[string]*outcomeRecord), expired: make(map[string]exchangeID)}
+	return &outcomeStore{byID: make(map[string]*outcomeRecord), expired: make(map[process]expiry)}
 }
 
+// process identifies a process of an entry node.
+type process struct{ node, epoch string }
+
 // exchangeID identifies an exchange.
 type exchangeID struct {
-	node  string // of the entry node
-	epoch string // of the process of the entry node
-	seq   uint64 // ascending within the process
+	process
+	seq uint64 // ascending within the process
+}
+
+// expiry is the last exchange of a process whose record has expired.
+type expiry struct {
+	seq uint64
+	at  time.Time
 }
 
 // String returns the text that nodes send.
@@ -52,11 +66,11 @@
 
 // parseExchangeID parses the text of an identifier. The name of the node may contain the separator.
 func parseExchangeID(text string) (id exchangeID, ok bool) {
-	process, number, ok := cutLast(text)
+	sender, number, ok := cutLast(text)
 	if !ok {
 		return exchangeID{}, false
 	}
-	id.node, id.epoch, ok = cutLast(process)
+	id.node, id.epoch, ok = cutLast(sender)
 	seq, err := strconv.ParseUint(number, 10, 64)
 	id.seq = seq
 	return id, ok && err == nil
@@ -75,15 +89,20 @@
 // caller holds mu.
 func (s *outcomeStore) mayHaveExpired(text string) bool {
 	id, ok := parseExchangeID(text)
-	last := s.expired[id.node]
-	return ok && id.epoch == last.epoch && id.seq <= last.seq
+	last, expired := s.expired[id.process]
+	return ok && expired && id.seq <= last.seq
 }
 
 // recordExpired remembers that the record of an exchange has expired. The caller holds mu.
-func (s *outcomeStore) recordExpired(text string) {
+func (s *outcomeStore) recordExpired(text string, now time.Time) {
 	id, ok := parseExchangeID(text)
-	if last := s.expired[id.node]; ok && (id.epoch != last.epoch || id.seq > last.seq) {
-		s.expired[id.node] = id
+	if !ok {
+		return
+	}
+	s.expired[id.process] = expiry{seq: max(id.seq, s.expired[id.process].seq), at: now}
+	if now.After(s.nextPrune) {
+		maps.DeleteFunc(s.expired, func(_ process, e expiry) bool { return now.Sub(e.at) > expiryRetention })
+		s.nextPrune = now.Add(expiryRetention / 10)
 	}
 }
 
@@ -145,7 +164,7 @@
 		if now.Before(rec.expires) {
 			return
 		}
-		s.recordExpired(s.order[0])
+		s.recordExpired(s.order[0], now)
 		delete(s.byID, s.order[0])
 		s.order = s.order[1:]
 	}
