control plane: end idle links to other control hosts

What is at stake: a control host keeps, for each address that ever was a member, a queue of 256 messages, a goroutine and a connection. They add up while control hosts are replaced.

Change: a link without messages for 30 s ends. A member gets messages several times a second; a host that comes back gets a new link with its first message. Send holds the lock while it queues, so that no message is queued on a link that ends.

--- a/protocol/controlplane/links.go
+++ b/protocol/controlplane/links.go
@@ -24,6 +24,9 @@
 	ackTimeout = time.Second
 	// redialDelay is the delay before a lost connection is opened again.
 	redialDelay = 100 * time.Millisecond
+	// idleLinkTimeout is how long a host without messages keeps its queue and its connection. A
+	// member gets some several times a second.
+	idleLinkTimeout = 30 * time.Second
 )
 
 // stepBatch is a batch of messages of the replicated log.
@@ -40,6 +43,8 @@
 	ctx    context.Context // canceled by Close; a field because Send has no context parameter
 	cancel context.CancelFunc
 
+	idleTimeout time.Duration
+
 	mu     sync.Mutex
 	queues map[string]chan quorum.Message
 	wg     sync.WaitGroup
@@ -48,11 +53,13 @@
 // NewLinks returns Links that open a connection to a host with the first message for it.
 func NewLinks(pool ConnPool) *Links {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Links{pool: pool, ctx: ctx, cancel: cancel, queues: make(map[string]chan quorum.Message)}
+	return &Links{pool: pool, ctx: ctx, cancel: cancel, idleTimeout: idleLinkTimeout, queues: make(map[string]chan quorum.Message)}
 }
 
 // Send queues m for its destination and does not block. It drops m if the queue is full.
 func (l *Links) Send(m quorum.Message) {
+	l.mu.Lock() // run does not remove the queue meanwhile
+	defer l.mu.Unlock()
 	select {
 	case l.queueFor(m.ToAddr) <- m:
 	default:
@@ -67,9 +74,8 @@
 	l.wg.Wait()
 }
 
+// queueFor returns the queue of a host. The caller holds mu.
 func (l *Links) queueFor(addr string) chan quorum.Message {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	q, ok := l.queues[addr]
 	if !ok {
 		q = make(chan quorum.Message, maxQueuedMessages)
@@ -81,15 +87,15 @@
 	return q
 }
 
-// run sends the queued messages for one host until Close.
+// run sends the queued messages for one host until Close, or until there has been none for
+// idleTimeout.
 func (l *Links) run(addr string, q chan quorum.Message) {
 	for {
-		select {
-		case <-l.ctx.Done():
+		m, ok := l.next(addr, q)
+		if !ok {
 			return
-		case m := <-q:
-			l.runConn(addr, m, q)
 		}
+		l.runConn(addr, m, q)
 		t := time.NewTimer(redialDelay)
 		select {
 		case <-l.ctx.Done():
@@ -99,7 +105,30 @@
 	}
 }
 
-// runConn sends messages, starting with first, over one connection until the connection is lost.
+// next waits for the next message of a queue. It removes the queue after idleTimeout.
+func (l *Links) next(addr string, q chan quorum.Message) (m quorum.Message, ok bool) {
+	t := time.NewTimer(l.idleTimeout)
+	defer t.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return m, false
+		case m = <-q:
+			return m, true
+		case <-t.C:
+		}
+		l.mu.Lock()
+		if len(q) == 0 {
+			delete(l.queues, addr)
+			l.mu.Unlock()
+			return m, false
+		}
+		l.mu.Unlock()
+	}
+}
+
+// runConn sends messages, starting with first, over one connection until the connection is lost or
+// there has been no message for idleTimeout.
 func (l *Links) runConn(addr string, first quorum.Message, q chan quorum.Message) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
@@ -123,14 +152,19 @@
 			watchdog.batchAcked()
 		}
 	}()
+	idle := time.NewTimer(l.idleTimeout)
+	defer idle.Stop()
 	for m := first; ; {
 		watchdog.batchSent()
 		if err := st.MsgSend(collectBatch(m, q), codec.Encoding{}); err != nil {
 			return
 		}
+		idle.Reset(l.idleTimeout)
 		select {
 		case <-ctx.Done():
 			return
+		case <-idle.C:
+			return
 		case m = <-q:
 		}
 	}
