feed: forget failures of control hosts after their penalty

The time of the last failure was kept for every address of a control host that was ever followed. It counts for failedHostPenalty only.

--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -187,9 +188,7 @@
 			if errors.Is(err, errNearerHost) {
 				break
 			}
-			c.mu.Lock()
-			c.failedAt[addr] = c.cfg.Now()
-			c.mu.Unlock()
+			c.recordFailure(addr)
 			if errors.Is(err, errNoLeader) {
 				noLeaderCount++
 			}
@@ -204,6 +203,15 @@
 	}
 }
 
+// recordFailure remembers that following a control host failed.
+func (c *Client) recordFailure(addr string) {
+	now := c.cfg.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.failedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= failedHostPenalty })
+	c.failedAt[addr] = now
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
