controlhost: join requests expire on followers too

Every control host keeps the hosts that asked to join, and only a leader dropped expired requests: a host that never leads kept one for each host that was ever replaced. Found by reading. Expired requests are now dropped with the next one. TestJoinRequestsExpireOnFollowers failed before and passes.

--- a/controlhost/group.go
+++ b/controlhost/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -66,12 +67,14 @@
 	expiry map[roster.Joiner]time.Time
 }
 
-func (j *joiners) add(joiner roster.Joiner, expiresAt time.Time) {
+func (j *joiners) add(joiner roster.Joiner, now, expiresAt time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.expiry == nil {
 		j.expiry = make(map[roster.Joiner]time.Time)
 	}
+	// Only the leader calls active.
+	maps.DeleteFunc(j.expiry, func(_ roster.Joiner, at time.Time) bool { return now.After(at) })
 	j.expiry[joiner] = expiresAt
 }
 
@@ -120,7 +123,8 @@
 	}
 	reply.IsMember = slices.ContainsFunc(r.quorumHost.Status().Members, func(m quorum.Member) bool { return m.ID == req.ID })
 	if req.Blank {
-		h.joiners.add(roster.Joiner{ID: req.ID, Addr: req.Addr}, time.Now().Add(joinRequestTTL))
+		now := time.Now()
+		h.joiners.add(roster.Joiner{ID: req.ID, Addr: req.Addr}, now, now.Add(joinRequestTTL))
 	}
 	return reply
 }
