gateway: requests that outlast a stop get a response

What callers saw: a request that was taken before the stop signal and still ran at the end of the grace period was cut off: the connection closed without a response.

Cause: nothing ended such requests before the server closed their connections.

A response that is already being relayed is still cut off.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -196,6 +196,7 @@
 	configured    chan struct{} // closed when the first configuration is active
 	leaving       atomic.Bool
 	exitDeadline  atomic.Pointer[time.Time] // when a process that is shutting down must have exited
+	exiting       chan struct{}             // closed when the remaining requests have to end
 	exchangeSeq   atomic.Uint64
 	splitter      *routes.Splitter
 	balancer      *placement.Balancer
@@ -220,7 +221,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log, startedAt: time.Now(), epoch: strconv.FormatUint(rand.Uint64(), 16),
-		configured: make(chan struct{}),
+		configured: make(chan struct{}), exiting: make(chan struct{}),
 		directory:  directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
 		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), suspectTurns: newTurnQueue(), stats: newStats(cfg.Registry),
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -197,6 +197,9 @@
 			if !s.hedged && time.Now().Before(q.objective) {
 				hedgeTimer.Reset(max(time.Until(q.objective), time.Millisecond))
 			}
+		case <-q.g.exiting:
+			q.g.writeError(w, q.httpReq, q, http.StatusBadGateway, mulberrylink.Unknown, reasonLeaving, 0)
+			return
 		case <-ctx.Done():
 			s.handleContextDone()
 			return
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -53,7 +53,8 @@
 // Shutdown stops the node gracefully. The node rejects requests of other nodes at
 // once and serves callers for at least minShutdownTime, until they have noticed the
 // shutdown. It rejects those of their requests that might not finish before the exit. Shutdown returns
-// when after that no request is in flight, or when the grace period is about to end.
+// when after that no request is in flight, or when the grace period is about to end: callers whose
+// requests still run are then told that the outcome is unknown. It is called once.
 func (g *Gateway) Shutdown(ctx context.Context) {
 	start := time.Now()
 	deadline := start.Add(g.cfg.GracePeriod - shutdownMargin)
@@ -63,6 +64,8 @@
 	g.upstream.publish()
 	g.outbound.Drain()
 	g.inbound.Drain()
+	exit := time.AfterFunc(time.Until(deadline), func() { close(g.exiting) })
+	defer exit.Stop()
 	for ctx.Err() == nil {
 		inFlight := g.outbound.InFlight() + g.inbound.InFlight()
 		if now := time.Now(); now.After(deadline) || now.Sub(start) > minShutdownTime && inFlight == 0 {
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -93,3 +93,30 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 	<-stopped
 }
+
+// Guards against a request that was taken before the stop signal, outlasts the grace period and gets
+// no response.
+func TestStopRespondsToRequestsThatOutlastIt(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	entry, other := d.addNode("n1", "d1", "desk", 4), d.addNode("n2", "d2", "archive", 4)
+	d.waitReady(entry)
+	other.upstream.setHandler(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(7 * time.Second):
+		case <-r.Context().Done():
+		}
+	})
+	responses := make(chan response, 2)
+	go func() { responses <- entry.sendLong("POST", "/longwrite/1", "w") }()
+	go func() { responses <- entry.sendLong("GET", "/longread/1", "r") }()
+	waitFor(t, time.Second, "runs", func() bool { return other.upstream.runsOf("w")+other.upstream.runsOf("r") == 2 })
+	start := time.Now()
+	entry.g.Shutdown(context.Background())
+	is.True(time.Since(start) < 6*time.Second)
+	for range 2 {
+		resp := <-responses
+		is.NoErr(resp.err)
+		is.Equal(resp.status, http.StatusBadGateway)
+	}
+}
