exchange: remove the connection that is closed from the pool

Closing the longest idle connections removed the first one of a list, and took for granted that a list is in the order of the times. Two connections that become idle at once may be listed in the other order: one would stay in the pool closed, the other one open outside of it. Found by reading; no run shows it. Also the formatting of gateway/doc.go.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -222,7 +222,7 @@
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log, startedAt: time.Now(), epoch: strconv.FormatUint(rand.Uint64(), 16),
 		configured: make(chan struct{}), exiting: make(chan struct{}),
-		directory:  directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
+		directory: directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
 		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), suspectTurns: newTurnQueue(), stats: newStats(cfg.Registry),
 	}
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -240,7 +240,7 @@
 	slices.SortFunc(all, func(a, b *conn) int { return a.idleSince.Compare(b.idleSince) })
 	for _, c := range all[:min(len(all), 1+len(all)/shedDivisor)] {
 		_ = c.Close()
-		p.setIdle(c.addr, p.idle[c.addr][1:]) // the lists are in the same order
+		p.setIdle(c.addr, slices.DeleteFunc(p.idle[c.addr], func(other *conn) bool { return other == c }))
 	}
 	return len(all) > 0
 }
