gateway: send nothing to another upstream before its heartbeat

Cause: a health response with an unknown id changed half of the identity. The service stayed that of the former instance until the first heartbeat of the new one, and requests named the new id, so the upstream did not refuse them.

Change: while an instance is known, an unknown id closes the upstream until a heartbeat states the service. Callers get an immediate "not run" or another upstream. That the former instance has ended is still noticed at once for the requests that it was running.

Evidence: TestAnotherUpstreamAwaitsItsHeartbeat failed before (requests ran) and passes. TestCrashIsNoticedBeforeHeartbeat fails without the last part.

--- a/gateway/heartbeat_test.go
+++ b/gateway/heartbeat_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/mulberrylink/mulberrylink/gateway"
 	"github.com/mulberrylink/mulberrylink/internal/testaddr"
@@ -101,3 +102,41 @@
 	}
 	is.True(other.upstream.totalRuns() > 0)
 }
+
+// Guards against requests of a former service that reach an upstream of another one, to which the
+// address was given, before its first heartbeat.
+func TestAnotherUpstreamAwaitsItsHeartbeat(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 4)
+	d.waitReady(n)
+	n.upstream.setID("i-other")
+	waitFor(t, 2*time.Second, "rejection", func() bool {
+		start := time.Now()
+		resp := n.send("POST", "/write/1", "w", "")
+		return resp.status == http.StatusServiceUnavailable && time.Since(start) < 500*time.Millisecond
+	})
+	runs := n.upstream.totalRuns()
+	for i := range 20 {
+		is.Equal(n.send("POST", "/write/1", fmt.Sprint("w", i), "").status, http.StatusServiceUnavailable)
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(n.upstream.totalRuns(), runs)
+	n.announce(gateway.Heartbeat{ID: "i-other", Service: "archive", Addr: n.upstream.addr, Slots: 4, Seq: 1, Incarnation: 2})
+	waitFor(t, time.Second, "response", func() bool { return n.send("POST", "/write/1", "after", "").status == http.StatusOK })
+}
+
+// Guards against a crash that goes unnoticed because the upstream is back with another identity before
+// its heartbeat.
+func TestCrashIsNoticedBeforeHeartbeat(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	n := d.addNode("n1", "d1", "archive", 4)
+	d.waitReady(n)
+	n.upstream.setHandler(func(http.ResponseWriter, *http.Request) {
+		n.upstream.setID("i-restarted")
+		panic(http.ErrAbortHandler)
+	})
+	is.Equal(n.send("POST", "/write/1", "w", "").status, http.StatusBadGateway)
+	is.Equal(metrics.GetOrRegisterCounter("upstream_crashed", n.registry).Count(), int64(1))
+}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -165,7 +165,6 @@
 	changed := u.down || u.instance.ID != info.UpstreamID
 	if changed {
 		previousID := u.instance.ID
-		u.down, u.instanceSince = false, time.Now()
 		switch {
 		case previousID == info.UpstreamID:
 		case u.replaced.ID == info.UpstreamID:
@@ -173,11 +172,17 @@
 			u.instance, u.replaced = u.replaced, Heartbeat{}
 			u.deregistered = false
 			u.forgetResponses(true)
+		case previousID != "":
+			// The address may belong to another service now. The heartbeat of the instance tells.
+			u.mu.Unlock()
+			u.markDisplaced(probed, info.UpstreamID)
+			return
 		default:
 			u.instance.ID, u.instance.Seq, u.instance.Incarnation = info.UpstreamID, 0, 0
 			u.instance.Draining, u.deregistered = false, false
 			u.forgetResponses(true)
 		}
+		u.down, u.displaced, u.instanceSince = false, false, time.Now()
 		if u.instance.Slots == 0 {
 			u.instance.Slots = max(1, info.Slots)
 		}
@@ -188,3 +193,27 @@
 		u.publish()
 	}
 }
+
+// hasEnded reports whether another instance has taken the place of an upstream instance.
+func (u *Upstream) hasEnded(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.instance.ID != id || u.displaced
+}
+
+// markDisplaced records that another instance responds at the address of the known one. Nothing is
+// sent to it before its heartbeat states its service.
+func (u *Upstream) markDisplaced(known *Heartbeat, id string) {
+	u.mu.Lock()
+	first := u.instance.ID == known.ID && !u.displaced
+	if first {
+		u.down, u.displaced = true, true
+	}
+	u.mu.Unlock()
+	if !first {
+		return
+	}
+	u.g.stats.count("upstream_displaced")
+	u.g.log.Info().Str("upstream", id).Str("before", known.ID).Msg("another upstream answers; its heartbeat is awaited")
+	u.publish()
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -185,7 +185,7 @@
 		defer cancel()
 		u.probeUntilDecided(ctx)
 	}
-	if u.current().ID != upstreamID {
+	if u.hasEnded(upstreamID) {
 		u.g.recordCrash(upstreamID, time.Now())
 	}
 }
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -47,7 +47,8 @@
 	earlier        Heartbeat // last heartbeat of an instance with an earlier start time
 	replaced       Heartbeat // the instance known before one with an earlier start time was accepted
 	deregistered   bool      // the instance has announced that it stops
-	down           bool      // nothing listens at its address
+	down           bool      // nothing listens at its address, or another instance does
+	displaced      bool      // another instance, whose service is not known, responds at its address
 	coldUntil      time.Time
 	loadReportedAt time.Time
 	slowdown       float64
@@ -116,7 +117,7 @@
 	if !same || u.down {
 		u.instanceSince = time.Now()
 	}
-	u.instance, u.down = hb, false
+	u.instance, u.down, u.displaced = hb, false, false
 	u.coldUntil = time.Now().Add(hb.Warmup)
 	u.mu.Unlock()
 	if changed {
