exchange: a 100 Continue response to a request without a body ends no process

A node ended with a panic, and with it the requests of all its other callers, when an upstream sent one response with status 100 to a request without a body. One spoiled digit makes "HTTP/1.1 200 OK" such a response, and any upstream may send an interim response.

Cause: the sending of the body is started by a 100 Continue response. Only a request with a body that had been sent with its head replaced that start by a function without effect; one without a body had its channel closed already, but kept the start. It then copied from a nil body, and closed the channel again.

The script unexpectedcontinue.txt does the same on (go test -run TestScripts/unexpectedcontinue ./transport/exchange).

With the change, the start has no effect for a request without a body; the script passes.

--- a/transport/exchange/do.go
+++ b/transport/exchange/do.go
@@ -125,6 +125,7 @@
 	t.startBody = sync.OnceFunc(func() { go t.sendBody() })
 	switch {
 	case !hasBody:
+		t.startBody = func() {} // a 100 Continue response may arrive all the same
 		close(t.bodySent)
 	case !req.ExpectContinue && req.Length > 0 && req.Length <= maxInlineBody:
 		t.startBody = func() {}
