exchange: check response heads against the grammar as their bytes arrive

A caller got a success for bytes that are no response: "HTTP/7.3 200 OK", a head with folded lines, line feeds alone or control characters, or a status 204 whose body was dropped. Others waited until their deadline and got 504 after bytes that could not begin a status line any more, such as the rest of a body after an interim response.

Cause: transport/exchange takes the word of the parser of net/http for what is a response. It accepts more than RFC 9112, and it waits for the end of a line whose first byte is wrong.

Change: headChecker, a reader below the buffer of a connection, checks each byte of a head. The exchange fails at the first byte that no response can have there. It serves all HTTP that a node reads from others: responses of upstreams, health probes, responses of other nodes. The oracle of the tests is internal/testresponse, which reads by the grammar and shares no code with the parser in use; gateway: TestSpoiledResponses had used the same parser, so it could not see this, and is judged by it now.

--- a/gateway/spoiled_test.go
+++ b/gateway/spoiled_test.go
@@ -2,17 +2,18 @@
 
 import (
 	"bufio"
-	"bytes"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
+	"slices"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/mulberrylink/mulberrylink/internal/testresponse"
 )
 
 var spoiledSeed = flag.Uint64("spoiled.seed", 1, "seed of TestSpoiledResponses")
@@ -20,71 +21,6 @@
 // spoiledCount is the number of responses in TestSpoiledResponses.
 const spoiledCount = 400
 
-// rawResponses are responses as an upstream sends them. ID stands for the identifier of the request.
-var rawResponses = []string{
-	"HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Signed: yes\r\nContent-Length: 12\r\n\r\nhello caller",
-	"HTTP/1.1 201 Created\r\nTest-Id: ID\r\nTest-Signed: yes\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n caller\r\n0\r\n\r\n",
-	"HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Signed: yes\r\nConnection: close\r\n\r\nhello caller",
-	"HTTP/1.1 500 Internal Server Error\r\nTest-Id: ID\r\nTest-Signed: yes\r\nContent-Length: 6\r\n\r\nfailed",
-	"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Signed: yes\r\nContent-Length: 2\r\n\r\nok",
-	"HTTP/1.1 204 No Content\r\nTest-Id: ID\r\nTest-Signed: yes\r\n\r\n",
-	"HTTP/1.1 503 Service Unavailable\r\nTest-Id: ID\r\nTest-Notrun: full\r\nContent-Length: 0\r\n\r\n",
-}
-
-// spoil changes a response at one or two places.
-func spoil(r *rand.Rand, b []byte) []byte {
-	for range 1 + r.IntN(2) {
-		i := r.IntN(len(b) + 1)
-		j := min(len(b), i+1+r.IntN(12))
-		switch r.IntN(8) {
-		case 0:
-			b = b[:i]
-		case 1:
-			b = append(bytes.Clone(b[:i]), b[j:]...)
-		case 2:
-			b = append(bytes.Clone(b[:j]), b[i:]...)
-		case 3:
-			b = append(bytes.Clone(b), "HTTP/1.1 200 OK\r\nTest-Signed: yes\r\nContent-Length: 1\r\n\r\nx"...)
-		case 4:
-			b = append(append(bytes.Clone(b[:i]), "\r\n"...), b[i:]...)
-		case 5:
-			if k := bytes.Index(b, []byte("HTTP/1.1 ")) + len("HTTP/1.1 "); k+3 <= len(b) {
-				b = bytes.Clone(b)
-				b[k+r.IntN(3)] = byte('0' + r.IntN(10)) // a digit of the status
-			}
-		default:
-			if i < len(b) {
-				b = bytes.Clone(b)
-				b[i] = "0123456789 \r\n:aH\x00\xff"[r.IntN(18)]
-			}
-		}
-		if len(b) == 0 {
-			return b
-		}
-	}
-	return b
-}
-
-// parseRaw returns the final response in raw and its body, and false if there is none that is whole.
-func parseRaw(raw []byte, id string) (status int, body string, ok bool) {
-	br := bufio.NewReader(bytes.NewReader(raw))
-	for {
-		resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodPost})
-		if err != nil {
-			return 0, "", false
-		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
-		data, err := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		if resp.Header.Get("Test-Id") != id && err == nil {
-			continue // belongs to another request
-		}
-		return resp.StatusCode, string(data), err == nil && resp.StatusCode >= 200 && resp.StatusCode <= 599
-	}
-}
-
 // rawUpstream writes the bytes that it holds for each request.
 type rawUpstream struct {
 	mu    sync.Mutex
@@ -120,17 +56,18 @@
 	answered := 0
 	for i := range spoiledCount {
 		id := fmt.Sprintf("s%d", i)
-		raw := spoil(r, []byte(strings.ReplaceAll(rawResponses[r.IntN(len(rawResponses))], "ID", id)))
+		examples := testresponse.Examples("Test-Id", id)
+		raw := testresponse.Spoil(r, examples[r.IntN(len(examples))])
 		up.mu.Lock()
-		up.bytes[id], up.keep[id] = raw, r.IntN(8) == 0
+		up.bytes[id], up.keep[id] = []byte(raw), r.IntN(8) == 0
 		up.mu.Unlock()
 		node := []*node{entry, other}[i%2]
 		status, body, own, err := node.exchangeRaw(id)
 		if err != nil {
 			continue // the connection ended early
 		}
-		wantStatus, wantBody, valid := parseRaw(raw, id)
-		if !own && (!valid || status != wantStatus || body != wantBody) {
+		want, wantErr := testresponse.ReadFinal(raw, func(r testresponse.Response) bool { return slices.Contains(r.Fields["test-id"], id) })
+		if !own && (wantErr != nil || status != want.Status || body != want.Body) {
 			t.Errorf("seed %d, %s via %s: status %d, body %q; the upstream sent %q", *spoiledSeed, id, node.name, status, body, raw)
 		}
 		if !own {
--- a/transport/exchange/do.go
+++ b/transport/exchange/do.go
@@ -39,8 +39,6 @@
 	headFactor = 16
 	// minHeadBytes is the size of a head that counts as a part of the request.
 	minHeadBytes = 1 << 10
-	// maxStatus is the largest status of a response in HTTP.
-	maxStatus = 599
 )
 
 var (
@@ -187,7 +185,8 @@
 	httpReq := &http.Request{Method: t.req.Method}
 	interimBytes := int64(0)
 	for mismatched, interim := 0, 0; ; {
-		if err := t.awaitBytes(); err != nil {
+		if err := t.beginHead(); err != nil {
+			t.responseBegun = errors.Is(err, errMalformedHead)
 			return nil, err
 		}
 		t.responseBegun = true
@@ -209,8 +208,8 @@
 			}
 			continue
 		}
-		if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
-			return nil, errStatus
+		if resp.StatusCode < http.StatusOK {
+			return nil, fmt.Errorf("%w: %d", errStatus, resp.StatusCode)
 		}
 		if t.req.Match == nil || t.req.Match(resp.Header) {
 			t.req.Memory.Take(memory.Heads, max(0, headBytes-minHeadBytes)*headFactor)
@@ -226,6 +225,17 @@
 	}
 }
 
+// beginHead waits for the first bytes of a response head. From here to the end of readHead, the
+// bytes of the upstream are checked as they arrive.
+func (t *roundTrip) beginHead() error {
+	br := t.conn.br
+	buffered, _ := br.Peek(br.Buffered()) // never fails for this length
+	if err := t.conn.head.begin(buffered); err != nil {
+		return err
+	}
+	return t.awaitBytes()
+}
+
 // awaitBytes waits for the next bytes of the upstream.
 func (t *roundTrip) awaitBytes() error {
 	t.setInactivityDeadline()
@@ -252,11 +262,16 @@
 	consumed := maxHeadBytes - c.input.N
 	exceeded := c.input.N <= 0
 	c.input.N = math.MaxInt64
+	malformed := c.head.end()
 	switch {
+	case errors.Is(malformed, errMalformedHead):
+		return nil, 0, malformed
 	case err != nil && exceeded:
 		return nil, 0, errHeadTooLong
 	case err != nil:
 		return nil, 0, err
+	case malformed != nil:
+		return nil, 0, malformed
 	}
 	if resp.ContentLength < 0 && t.pool.cfg.MaxUndelimitedBytes > 0 {
 		resp.Body = http.MaxBytesReader(nil, resp.Body, t.pool.cfg.MaxUndelimitedBytes)
--- a/transport/exchange/doc.go
+++ b/transport/exchange/doc.go
@@ -5,7 +5,9 @@
 // be another node.
 //
 // Idle connections are checked before reuse, each response is matched to its
-// request, and a connection on which unexpected bytes arrived is closed. The
+// request, and a connection on which unexpected bytes arrived is closed. Response
+// heads are checked against the grammar of HTTP/1.1 as their bytes arrive: an exchange
+// fails at the first byte that no response can have there. The
 // request body is sent while the response is read, so that an upstream may
 // respond before it has read a long body. When the context of an exchange ends,
 // its connection is closed.
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -86,7 +86,8 @@
 	mem           *memory.Account
 	addr          string
 	raw           syscall.RawConn
-	input         io.LimitedReader // its limit applies to response heads only
+	head          *headChecker
+	input         io.LimitedReader // reads from head; its limit applies to response heads only
 	br            *bufio.Reader
 	bw            *bufio.Writer
 	idleSince     time.Time
@@ -276,7 +277,11 @@
 	if p.cfg.OnConnect != nil {
 		p.cfg.OnConnect()
 	}
-	c := &conn{Conn: nc, mem: p.cfg.Memory.NewAccount(nil), addr: addr, input: io.LimitedReader{R: nc, N: math.MaxInt64}, bw: bufio.NewWriterSize(nc, writeBufferBytes)}
+	head := &headChecker{r: nc}
+	c := &conn{
+		Conn: nc, mem: p.cfg.Memory.NewAccount(nil), addr: addr, head: head,
+		input: io.LimitedReader{R: head, N: math.MaxInt64}, bw: bufio.NewWriterSize(nc, writeBufferBytes),
+	}
 	c.mem.Take(memory.Connections, connBytes)
 	c.br = bufio.NewReaderSize(&c.input, readBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
