gateway: log which upstream answered after another one had failed

A response that follows a failed attempt is logged at level info, with the nodes of both. One line for each request that needed a second upstream.

--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -52,7 +52,11 @@
 			Dur("took", took).Bool("notrun", a.res.meta.NotRun).Int("placed", s.placements).Msg("error response of the upstream relayed")
 	} else {
 		req.g.stats.count("answered")
-		req.g.log.Debug().Str("request", req.id).Str("route", req.route.Name).Str("node", a.node.Name).Dur("took", took).
+		event := req.g.log.Debug()
+		if s.lastFailure != nil {
+			event = req.g.log.Info().Str("failed", s.lastFailure.node.Name)
+		}
+		event.Str("request", req.id).Str("route", req.route.Name).Str("node", a.node.Name).Dur("took", took).
 			Dur("body", req.bodyReadAt.Sub(req.start)).Dur("work", a.res.meta.ServiceTime).Float64("cost", a.choice.Cost).Float64("alternative", a.choice.AlternativeCost).
 			Dur("age", a.choice.LoadAge).Float64("factor", a.choice.Slowdown).Float64("factor_after", a.res.meta.Load.Slowdown).
 			Int("placed", s.placements).Bool("hedge", a.hedge).Msg("answered")
