--- a/gateway/spoiled_test.go
+++ b/gateway/spoiled_test.go
@@ -56,7 +56,7 @@
 	answered := 0
 	for i := range spoiledCount {
 		id := fmt.Sprintf("s%d", i)
-		examples := testresponse.Examples("Test-Id", id)
+		examples := testresponse.Examples("Test-Id: "+id, "Test-Signed: yes")
 		raw := testresponse.Spoil(r, examples[r.IntN(len(examples))])
 		up.mu.Lock()
 		up.bytes[id], up.keep[id] = []byte(raw), r.IntN(8) == 0
--- a/internal/testresponse/spoil.go
+++ b/internal/testresponse/spoil.go
@@ -6,21 +6,21 @@
 )
 
 var examples = []string{
-	"HTTP/1.1 200 OK\r\nFIELD: ID\r\nTest-Signed: yes\r\nContent-Length: 12\r\n\r\nhello caller",
-	"HTTP/1.1 201 Created\r\nFIELD: ID\r\nTest-Signed: yes\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n caller\r\n0\r\n\r\n",
-	"HTTP/1.1 200 OK\r\nFIELD: ID\r\nTest-Signed: yes\r\nConnection: close\r\n\r\nhello caller",
-	"HTTP/1.1 500 Internal Server Error\r\nFIELD: ID\r\nTest-Signed: yes\r\nContent-Length: 6\r\n\r\nfailed",
-	"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nFIELD: ID\r\nTest-Signed: yes\r\nContent-Length: 2\r\n\r\nok",
-	"HTTP/1.1 204 No Content\r\nFIELD: ID\r\nTest-Signed: yes\r\n\r\n",
-	"HTTP/1.1 503 Service Unavailable\r\nFIELD: ID\r\nTest-Notrun: full\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nFIELDS\r\nContent-Length: 12\r\n\r\nhello caller",
+	"HTTP/1.1 201 Created\r\nFIELDS\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n caller\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nFIELDS\r\nConnection: close\r\n\r\nhello caller",
+	"HTTP/1.1 500 Internal Server Error\r\nFIELDS\r\nContent-Length: 6\r\n\r\nfailed",
+	"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nFIELDS\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 204 No Content\r\nFIELDS\r\n\r\n",
+	"HTTP/1.1 503 Service Unavailable\r\nFIELDS\r\nTest-Notrun: full\r\nContent-Length: 0\r\n\r\n",
 }
 
-// Examples returns responses to the request with an identifier, which they hold in a field.
-func Examples(field, id string) []string {
-	r := strings.NewReplacer("FIELD", field, "ID", id)
+// Examples returns responses with the given field lines, which identify the request and the upstream.
+// The last one is a refusal.
+func Examples(fields ...string) []string {
 	all := make([]string, len(examples))
 	for i, text := range examples {
-		all[i] = r.Replace(text)
+		all[i] = strings.ReplaceAll(text, "FIELDS", strings.Join(fields, "\r\n"))
 	}
 	return all
 }
--- a/transport/exchange/grammar_test.go
+++ b/transport/exchange/grammar_test.go
@@ -139,7 +139,7 @@
 // than the grammar, and against responses that a check of the grammar refuses.
 func TestOnlyResponsesAreReturned(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(*grammarSeed, 1))
-	examples := testresponse.Examples("X-Exchange", "a")
+	examples := testresponse.Examples("X-Exchange: a", "Test-Signed: yes")
 	p := newGrammarPool()
 	returned := 0
 	for i := range *grammarCount {
