gateway: pass on no refusal that the upstream doesn't state

A caller of a request that runs at most once got 503, 429 or 408 for a request that had run: the node passed on the status of an upstream that had run it. These statuses promise that the request was not run, so the caller sends it again, and a rack is booked twice. One spoiled digit makes such a status of a 500.

Cause: any status of an upstream that had not stated "not run" was relayed unchanged.

Change: for a request that runs at most once, such a response counts as a failed exchange, and the caller gets 502, unknown, without the upstream's stamp. Idempotent requests are answered as before. Counter upstream_unstated and a log line for each.

Evidence: go test -run TestRefusalThatTheUpstreamDoesNotState ./gateway failed before ("408 != 502"), over both the node beside the upstream and another one, and passes now.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -215,9 +215,12 @@
 	case resp.Status < http.StatusMultipleChoices && !info.Signed:
 		// A success without the stamp of the upstream wasn't sent by the upstream.
 		g.stats.count("upstream_unsigned")
-		resp.Close()
-		res.resp, res.err, res.meta.ExchangeFailed = nil, errUnsigned, true
-		g.admission.RecordResult(0, 0, true)
+		g.discardResponse(&res, errUnsigned)
+	case req.meta.Kind != routes.Safe && saysNotRun(resp.Status):
+		g.stats.count("upstream_unstated")
+		g.log.Warn().Str("request", id).Str("exchange", req.meta.ExchangeID).Str("upstream", hb.ID).Int("status", resp.Status).
+			Msg("upstream refused a request without stating that it did not run it")
+		g.discardResponse(&res, errUnstated)
 	default:
 		failed := resp.Status >= http.StatusInternalServerError
 		expected := req.meta.ServiceTime
@@ -233,7 +236,26 @@
 	return res
 }
 
-var errUnsigned = errors.New("response lacks the stamp of the upstream")
+var (
+	errUnsigned = errors.New("response lacks the stamp of the upstream")
+	errUnstated = errors.New("the upstream refused the request without stating that it did not run it")
+)
+
+// saysNotRun reports whether callers take a status for the promise that their request was not run.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// discardResponse turns a response that must not be relayed into a failed exchange.
+func (g *Gateway) discardResponse(res *result, err error) {
+	res.resp.Close()
+	res.resp, res.err, res.meta.ExchangeFailed = nil, err, true
+	g.admission.RecordResult(0, 0, true)
+}
 
 // handleExchangeError returns the result of an exchange that failed: a rejection when
 // nothing was sent.
--- a/gateway/spoiled_test.go
+++ b/gateway/spoiled_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/mulberrylink/mulberrylink/internal/testresponse"
 )
 
@@ -107,3 +109,28 @@
 	}
 	return resp.StatusCode, string(data), resp.Header.Get("Mulberry-Outcome") != "", nil
 }
+
+// Guards against a caller that sends a request again that runs at most once, because the upstream ran
+// it and answered with a status that says it was not run, without stating so.
+func TestRefusalThatTheUpstreamDoesNotState(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	entry, other := d.addNode("n1", "d1", "desk", 4), d.addNode("n2", "d2", "archive", 4)
+	d.waitReady(entry, other)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		other.upstream.setHandler(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Test-Id", r.Header.Get("Test-Id"))
+			w.Header().Set("Test-Signed", "yes")
+			w.WriteHeader(status)
+		})
+		for _, n := range []*node{entry, other} {
+			resp := n.send("POST", "/write/1", fmt.Sprintf("%s-%d", n.name, status), "")
+			is.NoErr(resp.err)
+			is.Equal(resp.status, http.StatusBadGateway)
+			is.Equal(resp.header.Get("Mulberry-Outcome"), "unknown")
+			is.Equal(resp.header.Get("Test-Signed"), "")
+			resp = n.send("GET", "/read/1", fmt.Sprintf("%s-%d-read", n.name, status), "")
+			is.Equal(resp.status, status) // an idempotent request may run again
+		}
+	}
+}
