backend: refuse responses of other versions and with statuses out of range

A caller of mulberrynode got a success for "HTTP/7.3 200 OK" of an upstream, and two responses or none for a status that is no final one, such as 000 or 101.

Change: a response that is not a final one of HTTP/1.1 ends the request as unknown. Heads that are malformed in other ways are only checked in transport/exchange; this path goes with the issue on one data path.

Evidence: four new cases of TestOutcomes failed before ("answered != unknown"), pass now.

--- a/transport/backend/backend.go
+++ b/transport/backend/backend.go
@@ -58,7 +58,9 @@
 	// maxUndelimitedBytes bounds a response body without a stated length. Callers may
 	// stream bodies of at least 64 MiB.
 	maxUndelimitedBytes = 64 << 20
-	bufferBytes         = 32 << 10
+	// maxStatus is the largest status of a response in HTTP.
+	maxStatus   = 599
+	bufferBytes = 32 << 10
 )
 
 // Target describes the upstream, as it announces itself.
--- a/transport/backend/backend_test.go
+++ b/transport/backend/backend_test.go
@@ -163,6 +163,10 @@
 		{name: "unavailable", response: "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"},
 		{name: "redirect", response: "HTTP/1.1 302 x\r\nLocation: /q\r\nContent-Length: 0\r\n\r\n"},
 		{name: "garbage", response: "what\r\n\r\n", outcome: mulberrylink.Unknown, reason: mulberrylink.ReasonLost},
+		{name: "other version", response: "HTTP/7.3 200 OK\r\nContent-Length: 0\r\n\r\n", outcome: mulberrylink.Unknown, reason: mulberrylink.ReasonLost},
+		{name: "no status", response: "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", outcome: mulberrylink.Unknown, reason: mulberrylink.ReasonLost},
+		{name: "interim status", response: "HTTP/1.1 101 OK\r\nContent-Length: 0\r\n\r\n", outcome: mulberrylink.Unknown, reason: mulberrylink.ReasonLost},
+		{name: "status out of range", response: "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n", outcome: mulberrylink.Unknown, reason: mulberrylink.ReasonLost},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/transport/backend/do.go
+++ b/transport/backend/do.go
@@ -59,6 +59,10 @@
 	if err != nil {
 		return classifyError(ctx, err, trace, body)
 	}
+	if !isFinal(resp) {
+		_ = resp.Body.Close()
+		return attempt{Result: Result{Result: mulberrylink.Result{Outcome: mulberrylink.Unknown, Reason: mulberrylink.ReasonLost}}}
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == "true" {
 		_, _ = io.CopyN(io.Discard, resp.Body, bufferBytes)
 		_ = resp.Body.Close()
@@ -76,6 +80,12 @@
 	return attempt{Result: Result{Result: mulberrylink.Result{Outcome: mulberrylink.Answered, Answer: a}}}
 }
 
+// isFinal reports whether a response is a final one of HTTP/1.1. net/http accepts any version and
+// any three digits as the status.
+func isFinal(resp *http.Response) bool {
+	return resp.Proto == "HTTP/1.1" && resp.StatusCode >= http.StatusOK && resp.StatusCode <= maxStatus
+}
+
 func classifyError(ctx context.Context, err error, trace *requestTrace, body *requestBody) attempt {
 	var a attempt
 	if trace.nothingWritten() {
