gateway: the ending upstream of TestCrashDuringTheProbe answers no probe any more

The test failed once ("not true: f.crashes.Load() <= 2"), and passed 29 of 29 times afterwards.

Cause: the fake upstream cuts off two health probes and is then ended by another goroutine, which polls every 0.1 ms. A probe in between was answered as by a running process under its old identity, so the node rightly took the crash for a lost response. No process that ends does that. Under load the goroutine is late and the gap is wider.

Evidence: with a pause of 10 ms before that end the test failed in 3 of 3 runs. With the change and the same pause it passed in 5 of 5; with the race detector and without the pause, all tests of crashing requests passed three times.

Change: the fake upstream ends with the last probe that it cuts off. What the test demands is the same.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -92,6 +92,7 @@
 	n.upstream.ended.Store(true)
 	_ = n.upstream.srv.Close()
 	time.Sleep(crashedFor)
+	n.upstream.probesToAbort.Store(0)
 	n.upstream.ended.Store(false)
 	n.upstream.setID(fmt.Sprintf("i-%s-%d", n.name, incarnation))
 	lis, err := net.Listen("tcp", n.upstream.addr)
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -88,7 +88,9 @@
 		delay := u.probeDelay
 		u.mu.Unlock()
 		if u.probesToAbort.Load() > 0 {
-			u.probesToAbort.Add(-1)
+			if u.probesToAbort.Add(-1) == 0 {
+				u.ended.Store(true) // a process that ends answers no later probe either
+			}
 			panic(http.ErrAbortHandler)
 		}
 		time.Sleep(delay)
