mulberrybench: the demo prints how long the stop took

The last step of the demo gave the time of the whole run as that of the stop (32 s, where the logs said 4 s): its start was taken before the deployment was started. It prints both now.

make demo: "step=down took=3.971s total=32.252s", outcome correct

--- a/cmd/mulberrybench/demo/demo.go
+++ b/cmd/mulberrybench/demo/demo.go
@@ -103,10 +103,11 @@
 	if err := m.runLoad(ctx); err != nil {
 		m.recordFailure(err)
 	}
+	stopBegin := time.Now()
 	if err := deployment.Down(context.WithoutCancel(ctx), o.Run); err != nil {
 		m.recordFailure(err)
 	}
-	m.print("step=down took=%s", elapsedSince(begin))
+	m.print("step=down took=%s total=%s", elapsedSince(stopBegin), elapsedSince(begin))
 	if err := errors.Join(m.failures...); err != nil {
 		m.print("outcome=failed faults=%d log=%s", len(m.failures), filepath.Join(o.Run, "log"))
 		return err
