exchange: skip plain text in heads at once

The check of a head went through its state machine for each byte: 4.7 us for a head of 236 bytes. Most bytes are of field values, of which only the class matters. They are now skipped in a loop, and the start of the head is kept with one copy: 2.7 us, both beside other load, without allocations. A node checks two heads for a request that crosses hosts.

--- a/transport/exchange/grammar.go
+++ b/transport/exchange/grammar.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 )
 
 const (
@@ -51,7 +50,7 @@
 	inLength, hasLength, lengthNotZero, hasEncoding bool
 
 	excerpt [maxExcerptBytes]byte // start of the head
-	size    int                   // bytes of the head so far
+	size    int                   // bytes of the head before the current ones
 	err     error                 // sticky
 }
 
@@ -85,26 +84,38 @@
 
 // check reads the next bytes, up to the end of the head.
 func (c *headChecker) check(p []byte) error {
-	for i, b := range p {
-		if c.part == partNone {
-			return nil
-		}
-		if c.size < maxExcerptBytes {
-			c.excerpt[c.size] = b
-		}
-		c.size++
-		if problem := c.next(b); problem != "" {
-			shown := c.excerpt[:min(c.size, maxExcerptBytes)]
-			if rest := p[i+1:]; len(shown) < maxExcerptBytes {
-				shown = append(shown, rest[:min(len(rest), maxExcerptBytes-len(shown))]...)
+	if c.part == partNone {
+		return nil
+	}
+	shown := c.size + copy(c.excerpt[min(c.size, maxExcerptBytes):], p)
+	for i := 0; i < len(p); i++ {
+		if (c.part == partValue || c.part == partReason) && !c.inLength {
+			if i += plainText(p[i:]); i == len(p) {
+				break
 			}
-			c.err = fmt.Errorf("%w: %s at byte %d of %q", errMalformedHead, problem, c.size, shown)
+		}
+		if problem := c.next(p[i]); problem != "" {
+			c.err = fmt.Errorf("%w: %s at byte %d of %q", errMalformedHead, problem, c.size+i+1, c.excerpt[:min(shown, maxExcerptBytes)])
 			return c.err
 		}
+		if c.part == partNone {
+			return nil
+		}
 	}
+	c.size += len(p)
 	return nil
 }
 
+// plainText returns the number of bytes at the start of p that may be part of a reason or a value.
+func plainText(p []byte) int {
+	for i, b := range p {
+		if !isText(b) {
+			return i
+		}
+	}
+	return len(p)
+}
+
 // next reads one byte of the head. It returns what is wrong with it, empty if nothing is.
 func (c *headChecker) next(b byte) string {
 	switch c.part {
@@ -162,7 +173,7 @@
 	switch {
 	case b == '\r':
 		c.part, c.inLength = partLineEnd, false
-	case b != '\t' && b < ' ', b == 0x7f:
+	case !isText(b):
 		return "control character"
 	case c.inLength && b >= '1' && b <= '9':
 		c.lengthNotZero = true
@@ -176,7 +187,7 @@
 		c.part = partValue
 		return ""
 	}
-	if !isTokenByte(b) {
+	if !tokenBytes[b] {
 		return "invalid field name"
 	}
 	if c.pos < len(c.name) {
@@ -214,11 +225,13 @@
 	return ""
 }
 
-// isTokenByte reports whether b may be part of a field name.
-func isTokenByte(b byte) bool {
-	switch {
-	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
-		return true
+// isText reports whether b may be part of a reason phrase or a field value.
+func isText(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
+
+// tokenBytes holds the bytes that may be part of a field name.
+var tokenBytes = func() (set [256]bool) {
+	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
+		set[b] = true
 	}
-	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
-}
+	return set
+}()
