--- a/internal/testresponse/testresponse.go
+++ b/internal/testresponse/testresponse.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	raw := testresponse.Spoil(rnd, testresponse.Examples("Request-Id: "+id)[0])
+//	raw := testresponse.Spoil(rnd, testresponse.Examples("X-Exchange: a")[0])
 //	want, err := testresponse.ReadFinal(raw, belongs)
 package testresponse
 
