gateway: requests that run once prefer upstreams without malformed responses

What callers saw: an upstream that spoils one response in 40 lost one request that may not be repeated every six seconds or so.

Cause: coordination/placement forgets each failure with a time constant of 2 s. That is right for timeouts and refusals, which describe the load of a moment, but bytes that are no response show that the upstream is faulty at any load.

Change: the node beside an upstream keeps the rate of malformed responses over the last 64 (coordination/soundness), and the rate is a part of the cost of requests that may run only once. Requests that may run again are placed as before; another upstream answers them, and they show whether the upstream is still faulty. Nodes give each other the estimate, so that it outlasts a restart of one of them; a new instance starts without it.

--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -26,6 +26,9 @@
 // Limited. The load that this answers is a service whose upstreams have mostly asked for fewer
 // requests: Load.RateWait tells entry nodes which upstreams have room for another one.
 //
+// The controller also holds the record of the upstream's malformed responses
+// (coordination/soundness), whose rate is a part of that comparison.
+//
 // # Usage
 //
 //	c := capacity.New(time.Now)
@@ -122,6 +125,9 @@
 	// WarmupRate is the limit of requests per second while the upstream is cold, and
 	// WarmupBurst the number of requests beyond it that the upstream takes at once.
 	WarmupRate, WarmupBurst float64
+	// ID and Incarnation identify the instance (coordination/soundness).
+	ID          string
+	Incarnation int64
 }
 
 // Request describes a request to admit.
@@ -130,6 +136,8 @@
 	ServiceTime time.Duration
 	// Priority orders the queue; 0 is the most urgent.
 	Priority int
+	// Repeatable is true if the request may run more than once.
+	Repeatable bool
 	// Objective is the time by which the request should finish. After Deadline its
 	// response is of no use.
 	Objective, Deadline time.Time
--- a/coordination/capacity/queue.go
+++ b/coordination/capacity/queue.go
@@ -34,7 +34,11 @@
 		return false
 	}
 	miss, _ := c.estimate(now, wait, req)
-	return 1-(1-miss)*(1-c.currentFailureRate(now)) > req.AlternativeCost+rerouteMargin
+	cost := 1 - (1-miss)*(1-c.currentFailureRate(now))
+	if !req.Repeatable {
+		cost += c.soundness.Estimate().Rate(now)
+	}
+	return cost > req.AlternativeCost+rerouteMargin
 }
 
 // position returns the number of queued requests that go before req.
--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/mulberrylink/mulberrylink/coordination/soundness"
 )
 
 const (
@@ -105,6 +107,8 @@
 	// Reroutable is true while the node beside the upstream may reject the request
 	// because another upstream is faster.
 	Reroutable bool
+	// Repeatable is true if the request may run more than once.
+	Repeatable bool
 	// Exclude contains the candidates that already rejected or failed this request.
 	Exclude map[string]bool
 }
@@ -132,6 +136,7 @@
 	failureRateAt  time.Time
 	penalizedUntil time.Time
 	unreachable    int // consecutive failures to reach the node
+	soundness      soundness.Estimate
 }
 
 // Balancer holds the state of all upstreams as known to one entry node, and chooses among
@@ -248,6 +253,9 @@
 	if now.Before(s.penalizedUntil) {
 		choice.Cost += 2 // usually makes it the last choice
 	}
+	if !req.Repeatable {
+		choice.Cost += s.soundness.Rate(now)
+	}
 	choice.Cost += rand.Float64() * 0.002 // random choice among equal candidates
 	return choice
 }
@@ -310,6 +318,20 @@
 	s.unreachable = 0
 }
 
+// RecordSoundness records how sound the responses of an upstream are.
+func (b *Balancer) RecordSoundness(name string, e soundness.Estimate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(name).soundness = e
+}
+
+// Soundness returns what was recorded last of an upstream.
+func (b *Balancer) Soundness(name string) soundness.Estimate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(name).soundness
+}
+
 // RecordResult records whether a request that ran on the upstream failed.
 func (b *Balancer) RecordResult(name string, failed bool, now time.Time) {
 	b.mu.Lock()
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
+	"github.com/mulberrylink/mulberrylink/coordination/soundness"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -189,3 +190,87 @@
 	b.Retain(func(name string) bool { return name == "own" })
 	is.Equal(b.Size(), 1)
 }
+
+// faultyRun counts the requests of a simulation in which one of two upstreams, the one beside the entry
+// node, sends one malformed response in malformedIn until it is mended.
+type faultyRun struct {
+	once, lost                           int // requests that run once before it is mended; those with a malformed response
+	onceAtFaulty, repeatable, atFaulty   int // before it is mended
+	onceAfterMending, mendedOnceAtFaulty int // in the last seconds
+}
+
+func runWithFaultyUpstream(seed uint64) (n faultyRun) {
+	const (
+		perSecond   = 200
+		malformedIn = 20
+		mendedAt    = 30 * time.Second
+		settled     = 55 * time.Second
+		end         = 60 * time.Second
+		serviceTime = 20 * time.Millisecond
+	)
+	type run struct {
+		name  string
+		once  bool
+		endAt time.Duration
+	}
+	r := rand.New(rand.NewPCG(seed, 2))
+	b := newBalancer()
+	pair := []placement.Candidate{{Name: "faulty", Domain: "d1", Slots: 6, Local: true}, {Name: "sound", Domain: "d1", Slots: 6}}
+	records := map[string]*soundness.Record{"faulty": {}, "sound": {}}
+	for name, record := range records {
+		record.Begin(name, 1)
+	}
+	var running []run
+	for i := range int(end / time.Second * perSecond) {
+		at := time.Duration(i) * time.Second / perSecond
+		now := start.Add(at)
+		for len(running) > 0 && running[0].endAt <= at {
+			done := running[0]
+			running = running[1:]
+			malformed := done.name == "faulty" && at < mendedAt && r.IntN(malformedIn) == 0
+			if malformed && done.once {
+				n.lost++
+			}
+			records[done.name].RecordResponse(done.name, malformed, now)
+			b.RequestEnded(done.name)
+			b.RecordResult(done.name, malformed, now)
+			b.RecordLoad(done.name, placement.Load{Running: b.InFlight(done.name), Slots: 6, Slowdown: 1}, now)
+			b.RecordSoundness(done.name, records[done.name].Estimate())
+		}
+		req := request(now)
+		req.ServiceTime, req.Repeatable = serviceTime, i%2 == 0
+		c, _ := b.Choose(now, req, pair)
+		b.RequestSent(c.Name)
+		running = append(running, run{c.Name, !req.Repeatable, at + serviceTime})
+		count := func(all, atFaulty *int) {
+			*all++
+			if c.Name == "faulty" {
+				*atFaulty++
+			}
+		}
+		switch {
+		case at < mendedAt && req.Repeatable:
+			count(&n.repeatable, &n.atFaulty)
+		case at < mendedAt:
+			count(&n.once, &n.onceAtFaulty)
+		case at >= settled && !req.Repeatable:
+			count(&n.onceAfterMending, &n.mendedOnceAtFaulty)
+		}
+	}
+	return n
+}
+
+// Guards against requests that run once and are lost again and again because a faulty upstream has its
+// share back seconds after each malformed response, and against one that never gets it back.
+func TestMalformedResponses(t *testing.T) {
+	is := is.New(t)
+	once, lost, repeated := 0, 0, 0
+	for seed := range uint64(10) {
+		n := runWithFaultyUpstream(seed + 1)
+		once, lost, repeated = once+n.once, lost+n.lost, repeated+n.atFaulty
+		is.Equal(n.mendedOnceAtFaulty, n.onceAfterMending) // it is the nearer one
+	}
+	t.Logf("%d of %d requests that run once were lost; the upstream got %d others", lost, once, repeated)
+	is.True(lost < once/1000)
+	is.True(repeated > 100) // which show whether it is still faulty
+}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -75,7 +75,9 @@
 // reject counts a rejection and returns its result.
 func (g *Gateway) reject(reason string, retryAfter time.Duration) result {
 	g.stats.count("admit_refused." + reason)
-	return result{meta: hop.ResponseMeta{Load: g.admission.Load(), RejectReason: reason, RetryAfter: retryAfter, Epoch: g.epoch}}
+	meta := g.newResponseMeta()
+	meta.RejectReason, meta.RetryAfter = reason, retryAfter
+	return result{meta: meta}
 }
 
 // admit runs a request on the upstream beside this node, or rejects it.
@@ -94,7 +96,7 @@
 		return *rejected
 	}
 	permit, rejection := g.admission.Acquire(ctx, &capacity.Request{
-		ServiceTime: req.meta.ServiceTime, Priority: req.meta.Priority, Objective: req.objective, Deadline: req.deadline, AlternativeCost: req.meta.AlternativeCost,
+		ServiceTime: req.meta.ServiceTime, Priority: req.meta.Priority, Repeatable: req.meta.Kind == routes.Safe, Objective: req.objective, Deadline: req.deadline, AlternativeCost: req.meta.AlternativeCost,
 	})
 	if permit == nil {
 		load := g.admission.Load()
@@ -203,10 +205,15 @@
 		return g.handleExchangeError(ctx, req, hb, took, err)
 	}
 	info := codec.ParseResponse(resp.Status, resp.Header)
-	g.runs.trackResponse(run, resp, func() { g.recordCompletion(run, info) })
+	g.runs.trackResponse(run, resp, func() {
+		g.recordCompletion(run, info)
+		if info.NotRun || info.Signed {
+			g.admission.RecordSoundness(hb.ID, false)
+		}
+	})
 	g.upstream.recordResponse(hb, info, false)
 	normalized := time.Duration(float64(took) / slowdown)
-	res := result{meta: hop.ResponseMeta{ServiceTime: normalized, NotRun: info.NotRun, Epoch: g.epoch}, resp: resp}
+	res := result{meta: hop.ResponseMeta{ServiceTime: normalized, NotRun: info.NotRun}, resp: resp}
 	switch {
 	case info.NotRun:
 		g.stats.count("upstream_notrun")
@@ -215,6 +222,7 @@
 	case resp.Status < http.StatusMultipleChoices && !info.Signed:
 		// A success without the stamp of the upstream wasn't sent by the upstream.
 		g.stats.count("upstream_unsigned")
+		g.recordMalformed(hb.ID)
 		g.discardResponse(&res, errUnsigned)
 	case req.meta.Kind != routes.Safe && saysNotRun(resp.Status):
 		g.stats.count("upstream_unstated")
@@ -232,7 +240,8 @@
 			g.serviceTimes.Observe(req.meta.Route, normalized)
 		}
 	}
-	res.meta.Load = g.admission.Load()
+	common := g.newResponseMeta()
+	res.meta.Load, res.meta.Soundness, res.meta.Epoch = common.Load, common.Soundness, common.Epoch
 	return res
 }
 
@@ -277,12 +286,17 @@
 	if ctx.Err() == nil || !time.Now().Before(req.deadline.Add(-entryDeadlineSlack)) {
 		g.recordUpstreamFailure(req, hb, took, err)
 	}
-	return result{err: err, meta: hop.ResponseMeta{Load: g.admission.Load(), ExchangeFailed: true, Epoch: g.epoch}}
+	meta := g.newResponseMeta()
+	meta.ExchangeFailed = true
+	return result{err: err, meta: meta}
 }
 
 // recordUpstreamFailure counts a failed exchange against the upstream.
 func (g *Gateway) recordUpstreamFailure(req *upstreamRequest, hb *Heartbeat, took time.Duration, err error) {
 	g.admission.RecordResult(0, 0, true)
+	if exchange.IsMalformed(err) {
+		g.recordMalformed(hb.ID)
+	}
 	g.upstream.requestProbe()
 	g.stats.count("upstream_failed")
 	g.log.Warn().Str("request", g.cfg.Headers.RequestID(req.header)).Str("exchange", req.meta.ExchangeID).
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,6 +62,7 @@
 		if n := g.upstream.nodeRecord(); n.Upstream == mulberrylink.UpstreamUp || n.Upstream == mulberrylink.UpstreamCold {
 			add(n)
 			g.balancer.RecordLoad(n.Name, g.admission.Load(), time.Now())
+			g.balancer.RecordSoundness(n.Name, g.admission.Soundness())
 		}
 	}
 	return all, nodes
@@ -95,7 +96,7 @@
 	}
 	choice, ok := g.balancer.Choose(now, &placement.Request{
 		ServiceTime: req.serviceTime, Objective: req.objective, Deadline: req.deadline, Exclude: s.excluded, SizeKiB: req.sizeKiB(), Value: req.value(),
-		Reroutable: s.slowerRejections < maxSlowerRejections,
+		Reroutable: s.slowerRejections < maxSlowerRejections, Repeatable: req.route.Kind == routes.Safe,
 	}, all)
 	if !ok || kind == hedgeAttempt && choice.Cost > maxHedgeCost || kind != firstAttempt && !s.takeRetry() {
 		return false
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -56,6 +56,7 @@
 		}
 	}
 	g.mergeSuspicion(meta.Fingerprint, meta.Suspicion)
+	g.mergeSoundness(meta.Soundness)
 	req := &upstreamRequest{
 		meta: meta, method: r.Method, target: r.RequestURI, host: r.Host,
 		header: ingress.EndToEndHeaders(r.Header), length: r.ContentLength, mem: mem,
@@ -101,7 +102,7 @@
 				return
 			case <-timer.C:
 			}
-			w.Header().Set(hop.Header, hop.ResponseMeta{Load: g.admission.Load(), Epoch: g.epoch}.Encode())
+			w.Header().Set(hop.Header, g.newResponseMeta().Encode())
 			w.WriteHeader(http.StatusProcessing)
 			timer.Reset(interimInterval)
 		}
@@ -187,7 +188,9 @@
 	rec := g.outcomes.resolve(id, time.Now())
 	if rec == nil {
 		g.log.Info().Str("exchange", id).Msg("outcome of a lost exchange is no longer known")
-		g.respondToPeer(w, &result{err: errOutcomeExpired, meta: hop.ResponseMeta{Load: g.admission.Load(), ExchangeFailed: true, Epoch: g.epoch}})
+		meta := g.newResponseMeta()
+		meta.ExchangeFailed = true
+		g.respondToPeer(w, &result{err: errOutcomeExpired, meta: meta})
 		return
 	}
 	stop := g.sendInterim(w)
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -251,6 +251,7 @@
 	} else {
 		u.g.admission.Open(capacity.Upstream{
 			Slots: u.instance.Slots, ColdUntil: u.coldUntil, WarmupRate: u.g.warmupRate(service), WarmupBurst: warmupBurstShare * u.g.cfg.Tuning.WarmupBurst,
+			ID: u.instance.ID, Incarnation: u.instance.Incarnation,
 		})
 	}
 	if u.announced != n {
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -53,6 +53,18 @@
 	Fingerprint uint64
 	// Suspicion is what the entry node knows of the fingerprint.
 	Suspicion Suspicion
+	// Soundness is what the entry node knows of the upstream.
+	Soundness Soundness
+}
+
+// Soundness is the estimate of package soundness for an upstream. The zero value is that of a sound one.
+type Soundness struct {
+	Instance             uint32
+	Malformed, Responses float64
+}
+
+func (e Soundness) encode() string {
+	return strconv.FormatUint(uint64(e.Instance), 16) + "," + strconv.FormatFloat(e.Malformed, 'f', 3, 64) + "," + strconv.FormatFloat(e.Responses, 'f', 1, 64)
 }
 
 // Suspicion is the record that a node has of the fingerprint of a request, see package suspect.
@@ -67,6 +79,7 @@
 	return strconv.FormatUint(uint64(s.Stage), 10) + "," + formatMillis(s.Remaining)
 }
 
+// requestFields is the number of fields of a request. The soundness follows them if there is one.
 const requestFields = 10
 
 // assumedMark follows a service time that is assumed instead of observed.
@@ -78,18 +91,15 @@
 	if m.ServiceTimeAssumed {
 		serviceTime += assumedMark
 	}
-	var b strings.Builder
-	for _, s := range []string{
+	fields := []string{
 		m.ExchangeID, m.Service, m.Route, strconv.Itoa(int(m.Kind)), m.CallerService, strconv.Itoa(m.Priority),
 		formatMillis(m.Objective) + "," + formatMillis(m.Timeout), serviceTime,
 		strconv.FormatFloat(m.AlternativeCost, 'f', 3, 64), encodeFingerprint(m.Fingerprint, m.Suspicion),
-	} {
-		if b.Len() > 0 {
-			b.WriteByte(';')
-		}
-		b.WriteString(s)
 	}
-	return b.String()
+	if m.Soundness != (Soundness{}) {
+		fields = append(fields, m.Soundness.encode())
+	}
+	return strings.Join(fields, ";")
 }
 
 // encodeFingerprint encodes a fingerprint, and the record of it if there is one.
@@ -106,8 +116,8 @@
 // ParseRequestMeta parses the header value of a request.
 func ParseRequestMeta(text string) (RequestMeta, error) {
 	fields := strings.Split(text, ";")
-	if len(fields) != requestFields {
-		return RequestMeta{}, errors.Newf("hop header of a request has %d fields, want %d", len(fields), requestFields)
+	if len(fields) != requestFields && len(fields) != requestFields+1 {
+		return RequestMeta{}, errors.Newf("hop header of a request has %d fields, want %d or %d", len(fields), requestFields, requestFields+1)
 	}
 	p := fieldParser{}
 	objective, timeout, _ := strings.Cut(fields[6], ",")
@@ -118,6 +128,9 @@
 		ServiceTime: p.millis(serviceTime), ServiceTimeAssumed: assumed, AlternativeCost: p.float(fields[8]),
 	}
 	meta.Fingerprint, meta.Suspicion = p.fingerprint(fields[9])
+	if len(fields) > requestFields {
+		meta.Soundness = p.soundness(fields[requestFields])
+	}
 	return meta, errors.Wrap(p.err, "parse hop header of a request")
 }
 
@@ -140,6 +153,8 @@
 	Epoch string
 	// Suspicion is what the admitting node knows of the fingerprint of the request.
 	Suspicion Suspicion
+	// Soundness is what the admitting node knows of its upstream.
+	Soundness Soundness
 }
 
 // Encode returns the header value of a response.
@@ -155,20 +170,24 @@
 		strconv.FormatFloat(m.Load.Slowdown, 'f', 2, 64), strconv.FormatFloat(m.Load.FailureRate, 'f', 2, 64),
 		strconv.Itoa(flags), formatMillis(m.ServiceTime), m.RejectReason, formatMillis(m.RetryAfter), m.Epoch,
 	}
-	if m.Load.RateWait > 0 || m.Suspicion.Remaining > 0 {
+	unsound := m.Soundness != (Soundness{})
+	if m.Load.RateWait > 0 || m.Suspicion.Remaining > 0 || unsound {
 		fields = append(fields, formatMillis(m.Load.RateWait))
 	}
-	if m.Suspicion.Remaining > 0 {
+	if m.Suspicion.Remaining > 0 || unsound {
 		fields = append(fields, m.Suspicion.encode())
 	}
+	if unsound {
+		fields = append(fields, m.Soundness.encode())
+	}
 	return strings.Join(fields, ";")
 }
 
-// responseFields is the number of fields of a response. The rate wait and the suspicion follow
-// them when there are any.
+// responseFields is the number of fields of a response. The rate wait, the suspicion and the
+// soundness follow them, up to the last one that there is.
 const (
 	responseFields    = 8
-	maxResponseFields = responseFields + 2
+	maxResponseFields = responseFields + 3
 )
 
 // ParseResponseMeta parses the header value of a response.
@@ -194,8 +213,11 @@
 	if len(fields) > responseFields {
 		meta.Load.RateWait = max(0, p.millis(fields[responseFields]))
 	}
-	if len(fields) == maxResponseFields {
-		meta.Suspicion = p.suspicion(fields[maxResponseFields-1])
+	if len(fields) > responseFields+1 {
+		meta.Suspicion = p.suspicion(fields[responseFields+1])
+	}
+	if len(fields) > responseFields+2 {
+		meta.Soundness = p.soundness(fields[responseFields+2])
 	}
 	return meta, errors.Wrap(p.err, "parse hop header of a response")
 }
@@ -237,6 +259,16 @@
 	return Suspicion{Stage: uint32(n), Remaining: max(0, p.millis(remaining))}
 }
 
+func (p *fieldParser) soundness(s string) Soundness {
+	instance, counts, _ := strings.Cut(s, ",")
+	malformed, responses, _ := strings.Cut(counts, ",")
+	n, err := strconv.ParseUint(instance, 16, 32)
+	if err != nil && p.err == nil {
+		p.err = err
+	}
+	return Soundness{Instance: uint32(n), Malformed: max(0, p.float(malformed)), Responses: max(0, p.float(responses))}
+}
+
 func (p *fieldParser) float(s string) float64 {
 	x, err := strconv.ParseFloat(s, 64)
 	if err != nil && p.err == nil {
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -23,6 +23,10 @@
 	gotRequest, err := hop.ParseRequestMeta(request.Encode())
 	is.NoErr(err)
 	is.Equal(gotRequest, request)
+	request.Soundness = hop.Soundness{Instance: 0xfedcba98, Malformed: 1.125, Responses: 40.5}
+	gotRequest, err = hop.ParseRequestMeta(request.Encode())
+	is.NoErr(err)
+	is.Equal(gotRequest, request)
 	response := hop.ResponseMeta{
 		Load:         placement.Load{Running: 3, Waiting: 2, Slots: 6, Slowdown: 7, FailureRate: 0.5, Cold: true},
 		RejectReason: "slower", RetryAfter: 30 * time.Millisecond, ServiceTime: 60 * time.Millisecond, NotRun: true, ExchangeFailed: true, Epoch: "5f",
@@ -34,6 +38,14 @@
 	gotResponse, err = hop.ParseResponseMeta(response.Encode())
 	is.NoErr(err)
 	is.Equal(gotResponse, response)
+	response.Soundness = request.Soundness
+	gotResponse, err = hop.ParseResponseMeta(response.Encode())
+	is.NoErr(err)
+	is.Equal(gotResponse, response)
+	response.Suspicion = hop.Suspicion{}
+	gotResponse, err = hop.ParseResponseMeta(response.Encode())
+	is.NoErr(err)
+	is.Equal(gotResponse, response)
 	response.Load.RateWait = 120 * time.Millisecond
 	gotResponse, err = hop.ParseResponseMeta(response.Encode())
 	is.NoErr(err)
--- a/transport/exchange/do.go
+++ b/transport/exchange/do.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -46,8 +47,30 @@
 	errHeadTooLong = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
 	errInterim     = errors.New("too many interim responses")
 	errStatus      = errors.New("the status of the response is not one of a final response")
+	errBody        = errors.New("malformed response body")
 )
 
+// IsMalformed reports whether an exchange failed because the upstream sent bytes that are no response,
+// or ended the connection in the middle of a response. An error of the connection itself doesn't count,
+// since the network may have caused it.
+func IsMalformed(err error) bool {
+	for _, cause := range []error{errMalformedHead, errHeadTooLong, errInterim, errStatus, errBody, io.ErrUnexpectedEOF} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// bodyError marks an error in reading a response body that only its bytes can have caused.
+func bodyError(err error) error {
+	var netErr net.Error
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || errors.Is(err, http.ErrBodyReadAfterClose) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errBody, err)
+}
+
 // Do sends a request and reads its response. The error is a *StageError.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
 	c, err := p.get(ctx, req)
@@ -304,7 +327,7 @@
 	buffer.begin(resp.ContentLength)
 	complete, err := buffer.fill(resp.Body)
 	if err != nil {
-		return nil, err
+		return nil, bodyError(err)
 	}
 	out.Body = buffer.data
 	if complete {
@@ -362,7 +385,7 @@
 	if errors.Is(err, io.EOF) {
 		r.eof = true
 	}
-	return n, err
+	return n, bodyError(err)
 }
 
 // Close implements io.Closer.
