--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -202,7 +202,11 @@
 		Addr: a.node.Addr, Method: req.httpReq.Method, Target: req.httpReq.RequestURI, Host: req.httpReq.Host, Header: header,
 		Body: req.bodyReader(), Length: req.length, Deadline: req.deadline.Add(responseSlack), InactivityTimeout: peerInactivityTimeout, Memory: req.mem,
 		OnInterim: func(h http.Header) {
-			if interim, err := hop.ParseResponseMeta(h.Get(hop.Header)); err == nil {
+			text := h.Get(hop.Header)
+			if text == "" {
+				return // of the upstream; creating an error for each of many would load the collector
+			}
+			if interim, err := hop.ParseResponseMeta(text); err == nil {
 				g.balancer.RecordLoad(a.node.Name, interim.Load, time.Now())
 				epoch = interim.Epoch
 			}
