controlhost: a host that stops during a replacement does not shrink the group

What operators would have seen: a control host that is stopped while another one is being replaced leaves a group that has only its size, which then has one voter less until the host is back.

Cause: while a replacement is open, the old and the new voter both counted, so the group seemed to be above its size. Found by reading; the interval is the few milliseconds of a replacement, or longer if the leader is lost in between.

--- /dev/null
+++ b/controlhost/leave_test.go
@@ -0,0 +1,20 @@
+package controlhost
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/mulberrylink/mulberrylink/coordination/quorum"
+	"github.com/mulberrylink/mulberrylink/coordination/roster"
+)
+
+// Guards against a group that shrinks below its size because a host that stops during a replacement
+// counts both the old and the new voter.
+func TestLeaveDuringReplacement(t *testing.T) {
+	is := is.New(t)
+	status := quorum.MemberStatus{Members: []quorum.Member{{ID: 1}, {ID: 2}, {ID: 3, Leaving: true}, {ID: 4, Joining: true}}}
+	is.Equal(roster.MayLeave(rosterMembers(&status), 2, 3), roster.Wait)
+	status.Members = []quorum.Member{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}
+	is.Equal(roster.MayLeave(rosterMembers(&status), 2, 3), roster.LeaveNow)
+}
