controlhost: the new voter of an open replacement is not given up as a learner

What operators would have seen: a group that is one voter short for some seconds, after a leader was lost in the middle of a replacement.

Cause: the leader gives a learner up after 1 s of silence. A new leader that finds a replacement open took the new voter for a learner; the removal waits for the end of the replacement, and then takes a voter away that has been silent for 1 s only. Found by reading.

Change: a member that joins by a replacement is not given up. If it stays silent as a voter, it is replaced like any other.

--- a/controlhost/leave.go
+++ b/controlhost/leave.go
@@ -120,11 +120,15 @@
 }
 
 // rosterMembers returns the members of the group for package roster. The new voter of a replacement in
-// progress counts as a learner until the old one has left.
+// progress counts as a learner until the old one has left, but is not given up: the removal would take
+// place after the replacement, when it is a voter.
 func rosterMembers(status *quorum.MemberStatus) []roster.Member {
 	members := make([]roster.Member, len(status.Members))
 	for i, m := range status.Members {
-		members[i] = roster.Member{ID: m.ID, Addr: m.Addr, Learner: m.Learner || m.Joining, UnresponsiveSince: status.Unresponsive[m.ID]}
+		members[i] = roster.Member{ID: m.ID, Addr: m.Addr, Learner: m.Learner || m.Joining}
+		if !m.Joining {
+			members[i].UnresponsiveSince = status.Unresponsive[m.ID]
+		}
 	}
 	return members
 }
--- a/coordination/quorum/replace_test.go
+++ b/coordination/quorum/replace_test.go
@@ -166,7 +166,11 @@
 	k.nextCheck = r.now + rosterInterval
 	var members []roster.Member
 	for _, m := range status.Members {
-		members = append(members, roster.Member{ID: m.ID, Addr: m.Addr, Learner: m.Learner || m.Joining, UnresponsiveSince: status.Unresponsive[m.ID], Connected: r.connected(n, m.Addr)})
+		member := roster.Member{ID: m.ID, Addr: m.Addr, Learner: m.Learner || m.Joining, Connected: r.connected(n, m.Addr)}
+		if !m.Joining {
+			member.UnresponsiveSince = status.Unresponsive[m.ID]
+		}
+		members = append(members, member)
 		if m.Learner {
 			k.nextCheck = r.now + changeInterval
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -204,7 +204,7 @@
 		OnInterim: func(h http.Header) {
 			text := h.Get(hop.Header)
 			if text == "" {
-				return // of the upstream; creating an error for each of many would load the collector
+				return // of the upstream, which may send many
 			}
 			if interim, err := hop.ParseResponseMeta(text); err == nil {
 				g.balancer.RecordLoad(a.node.Name, interim.Load, time.Now())
