--- a/gateway/peer_bytes_test.go
+++ b/gateway/peer_bytes_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -25,25 +24,14 @@
 // maxNodeHeap is half of the 184 MB of the smallest node: the collector may need as much again.
 const maxNodeHeap = 92 << 20
 
-const (
-	faultyConns = 60
-	// heapReadings is the number of collections in a row after which memory counts as held.
-	heapReadings = 3
-)
+const faultyConns = 60
 
 // checkHeap fails the test if the heap has grown by more than maxNodeHeap.
-//
-// What is allocated while a collection runs counts as in use after it: up to 100 MiB on a busy machine.
-// Memory that is held is still there after the next collections.
 func checkHeap(t *testing.T, before int64) {
 	t.Helper()
-	growth := int64(math.MaxInt64)
-	for range heapReadings {
-		if growth = min(growth, liveHeap()-before); growth <= maxNodeHeap {
-			return
-		}
+	if growth := liveHeap() - before; growth > maxNodeHeap {
+		t.Fatalf("%d MiB of memory in use", growth>>20)
 	}
-	t.Fatalf("%d MiB of memory in use", growth>>20)
 }
 
 func liveHeap() int64 {
