--- a/coordination/quorum/core_test.go
+++ b/coordination/quorum/core_test.go
@@ -75,7 +75,8 @@
 	ack(c, 3)
 	is.NoErr(c.removeMember(5))
 	is.True(errors.Is(c.addMember(Member{ID: 6}), errBusy))
-	is.Equal(c.voterCount(), 4)
+	is.True(!c.haveMajority(c.members(), func(id uint64) bool { return id <= 2 })) // three of four are needed
+	is.True(c.haveMajority(c.members(), func(id uint64) bool { return id <= 3 }))
 }
 
 // Guards against a host that responds to messages for an identity that it no longer has.
--- a/coordination/quorum/members_test.go
+++ b/coordination/quorum/members_test.go
@@ -131,10 +131,23 @@
 	is.True(errors.Is(c.removeMember(4), errBusy))
 	sync(6)
 	is.True(inReplacement(c.members())) // two of five and two of five
-	c.transferTarget, c.transferDeadline = 2, c.now.Add(time.Millisecond)
+	c.transferTarget, c.transferDeadline = 2, c.now.Add(time.Minute)
 	sync(2, 3)
 	is.True(inReplacement(c.members())) // a transfer of leadership is in progress
-	c.tick(c.now.Add(defaultHeartbeatInterval))
+	c.becomeFollower(c.term(), 0)
+	c.startElection(false)
+	sync()
+	vote := func(id uint64) { c.step(Message{Kind: VoteResponse, From: id, To: 1, Term: c.term()}) }
+	vote(2)
+	vote(6)
+	is.True(c.role != Leader) // three of the new set, two of the old one
+	vote(3)
+	is.Equal(c.role, Leader)
+	is.True(inReplacement(c.members())) // until the first entry of the term is committed
+	c.transferTarget, c.transferDeadline = 2, c.now.Add(time.Millisecond)
+	sync(2, 3)
+	is.True(inReplacement(c.members()))
+	c.tick(c.now.Add(defaultHeartbeatInterval)) // the transfer has ended
 	is.True(!inReplacement(c.members()))
 	is.True(!c.isVoter(5))
 	is.True(c.isVoter(6))
--- a/coordination/quorum/simnode_test.go
+++ b/coordination/quorum/simnode_test.go
@@ -326,11 +326,17 @@
 
 // keepMajority reports whether a majority of each set of voters has its disk, without that of lost.
 func (s *simulation) keepMajority(members []Member, lost uint64) bool {
+	present := s.presentIDs()
+	return (&core{}).haveMajority(members, func(id uint64) bool { return present[id] && id != lost })
+}
+
+// presentIDs returns the identities whose disks are not lost.
+func (s *simulation) presentIDs() map[uint64]bool {
 	present := map[uint64]bool{}
 	for _, n := range s.nodes {
 		present[n.host.core.id] = true
 	}
-	return (&core{}).haveMajority(members, func(id uint64) bool { return present[id] && id != lost })
+	return present
 }
 
 // survivesDiskLoss reports whether the group keeps a quorum without the disk of n, under each
@@ -356,6 +362,7 @@
 	if !s.keepMajority(members, lost) {
 		return false
 	}
+	present := s.presentIDs()
 	for i, learner := range members {
 		if !learner.Learner {
 			continue
@@ -367,8 +374,8 @@
 		}
 		next[i].Joining = true
 		for j, voter := range members {
-			if voter.Learner {
-				continue
+			if voter.Learner || present[voter.ID] && voter.ID != lost {
+				continue // repair replaces only hosts without their disk
 			}
 			next[j].Leaving = true
 			if !s.keepMajority(next, lost) {
