coordination: package soundness is named integrity

Whether a response is whole and well-formed is called its integrity; no one looks for "soundness" in a load balancer. Comments that had to be decoded are written anew. No behaviour changes; the fields on the wire are the same.

--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/mulberrylink/mulberrylink/coordination/integrity"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
-	"github.com/mulberrylink/mulberrylink/coordination/soundness"
 )
 
 // Controller is the admission controller of one upstream. It is safe for concurrent use.
@@ -33,7 +33,7 @@
 	permits            map[*Permit]struct{}
 	failureRate        float64
 	failureRateAt      time.Time
-	soundness          soundness.Record
+	integrity          integrity.Record
 }
 
 // Permit is the right to use a slot until Release.
@@ -56,7 +56,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	c.upstream, c.open = u, true
-	c.soundness.Begin(u.ID, u.Incarnation)
+	c.integrity.Begin(u.ID, u.Incarnation)
 	c.warmup.setLimits(u.WarmupRate, u.WarmupBurst, now)
 	c.limit = c.estimator.limit(u.Slots, now)
 	c.processQueue(now)
@@ -128,26 +128,26 @@
 	c.failureRate, c.failureRateAt = cur+failureWeight*(target-cur), now
 }
 
-// RecordSoundness records whether a response of an instance of the upstream was malformed.
-func (c *Controller) RecordSoundness(id string, malformed bool) {
+// RecordIntegrity records whether a response of an instance of the upstream was malformed.
+func (c *Controller) RecordIntegrity(id string, malformed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.soundness.RecordResponse(id, malformed, c.now())
+	c.integrity.RecordResponse(id, malformed, c.now())
 }
 
-// MergeSoundness takes over what another node knows of the upstream, and reports whether this
+// MergeIntegrity takes over what another node knows of the upstream, and reports whether this
 // controller knew less.
-func (c *Controller) MergeSoundness(e soundness.Estimate) bool {
+func (c *Controller) MergeIntegrity(e integrity.Estimate) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.soundness.Merge(e)
+	return c.integrity.Merge(e)
 }
 
-// Soundness returns how sound the responses of the upstream are.
-func (c *Controller) Soundness() soundness.Estimate {
+// Integrity returns the estimate of the malformed responses of the upstream.
+func (c *Controller) Integrity() integrity.Estimate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.soundness.Estimate()
+	return c.integrity.Estimate()
 }
 
 func (c *Controller) currentFailureRate(now time.Time) float64 {
--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -27,7 +27,7 @@
 // requests: Load.RateWait tells entry nodes which upstreams have room for another one.
 //
 // The controller also holds the record of the upstream's malformed responses
-// (coordination/soundness), whose rate is a part of that comparison.
+// (coordination/integrity), whose rate is a part of that comparison.
 //
 // # Usage
 //
@@ -125,7 +125,7 @@
 	// WarmupRate is the limit of requests per second while the upstream is cold, and
 	// WarmupBurst the number of requests beyond it that the upstream takes at once.
 	WarmupRate, WarmupBurst float64
-	// ID and Incarnation identify the instance (coordination/soundness).
+	// ID and Incarnation identify the instance (coordination/integrity).
 	ID          string
 	Incarnation int64
 }
--- a/coordination/capacity/queue.go
+++ b/coordination/capacity/queue.go
@@ -36,7 +36,7 @@
 	miss, _ := c.estimate(now, wait, req)
 	cost := 1 - (1-miss)*(1-c.currentFailureRate(now))
 	if !req.Repeatable {
-		cost += c.soundness.Estimate().Rate(now)
+		cost += c.integrity.Estimate().Rate(now)
 	}
 	return cost > req.AlternativeCost+rerouteMargin
 }
--- a/coordination/soundness/soundness.go
+++ b/coordination/integrity/integrity.go
@@ -1,11 +1,11 @@
-// Package soundness estimates how often an upstream sends malformed responses: bytes that are no
+// Package integrity estimates how often an upstream sends malformed responses: bytes that are no
 // response, a response that ends early, or a success without the stamp of the upstream. A refusal or a
 // timeout describes the load of a moment, and coordination/placement forgets it within seconds. A
 // malformed response shows that the upstream is faulty at any load.
 //
 // The rate is taken over responses and not over time: each well-formed response lowers it. It is the
 // expected loss of a request that may run only once, since its response can't be asked for again.
-// coordination/placement adds it to the cost of such requests, so that they go to sound upstreams as
+// coordination/placement adds it to the cost of such requests, so that they go to other upstreams as
 // long as these have room. Requests that may run again are placed as before, because another upstream
 // answers them after a malformed response. They show whether the upstream is still faulty.
 //
@@ -15,13 +15,13 @@
 //
 // # Usage
 //
-//	var r soundness.Record
+//	var r integrity.Record
 //	r.Begin("i-7f3a91c2", 1700000000000)
-//	r.RecordResponse(malformed, now)
+//	r.RecordResponse("i-7f3a91c2", malformed, now)
 //	if !repeatable {
 //		cost += r.Estimate().Rate(now)
 //	}
-package soundness
+package integrity
 
 import (
 	"math"
@@ -35,14 +35,15 @@
 	window = 64
 	// prior is the number of well-formed responses that are assumed before the first one.
 	prior = 8
-	// minRate is the rate below which an upstream counts as sound.
+	// minRate is the rate below which an upstream counts as free of malformed responses.
 	minRate = 0.002
 	// decay is the time constant with which the rate is forgotten. It matters only without responses:
 	// an upstream that gets no request can't show that it has been mended.
 	decay = 30 * time.Second
 )
 
-// Estimate is what is known of one instance of an upstream. The zero value is that of a sound one.
+// Estimate is what is known of one instance of an upstream. The zero value is that of
+// one without malformed responses.
 type Estimate struct {
 	// Instance identifies the instance.
 	Instance uint32
--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/mulberrylink/mulberrylink/coordination/soundness"
+	"github.com/mulberrylink/mulberrylink/coordination/integrity"
 )
 
 const (
@@ -136,7 +136,7 @@
 	failureRateAt  time.Time
 	penalizedUntil time.Time
 	unreachable    int // consecutive failures to reach the node
-	soundness      soundness.Estimate
+	integrity      integrity.Estimate
 }
 
 // Balancer holds the state of all upstreams as known to one entry node, and chooses among
@@ -254,7 +254,7 @@
 		choice.Cost += 2 // usually makes it the last choice
 	}
 	if !req.Repeatable {
-		choice.Cost += s.soundness.Rate(now)
+		choice.Cost += s.integrity.Rate(now)
 	}
 	choice.Cost += rand.Float64() * 0.002 // random choice among equal candidates
 	return choice
@@ -318,18 +318,18 @@
 	s.unreachable = 0
 }
 
-// RecordSoundness records how sound the responses of an upstream are.
-func (b *Balancer) RecordSoundness(name string, e soundness.Estimate) {
+// RecordIntegrity records the estimate of the malformed responses of an upstream.
+func (b *Balancer) RecordIntegrity(name string, e integrity.Estimate) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(name).soundness = e
+	b.state(name).integrity = e
 }
 
-// Soundness returns what was recorded last of an upstream.
-func (b *Balancer) Soundness(name string) soundness.Estimate {
+// Integrity returns the estimate that was recorded last, the zero value for an unknown upstream.
+func (b *Balancer) Integrity(name string) integrity.Estimate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.state(name).soundness
+	return b.state(name).integrity
 }
 
 // RecordResult records whether a request that ran on the upstream failed.
--- a/coordination/placement/doc.go
+++ b/coordination/placement/doc.go
@@ -7,9 +7,9 @@
 // probability that this is too late. A load report is weighted with the probability that it
 // still holds; the rest of the weight goes to the usual mix of quiet and disturbed hosts.
 // The cost of a candidate adds to this its recent failure rate, a charge for the bytes that
-// leave the failure domain, for a request that may run only once the rate of malformed
-// responses (coordination/soundness), penalties while the upstream is cold and shortly after it rejected
-// a request or was unreachable, and small terms that break ties. The lowest cost wins.
+// leave the failure domain, penalties while the upstream is cold and shortly after it rejected
+// a request or was unreachable, and small terms that break ties. For a request that may run only
+// once it also has the rate of malformed responses (coordination/integrity). The lowest cost wins.
 //
 // A wrong choice does little harm: the node beside the upstream knows the state of its
 // upstream exactly, and rejects a request that another upstream would finish sooner before
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -160,7 +160,7 @@
 	case len(newJoiners) == 0:
 		return Action{}
 	case len(members) < MaxMembers || voters == MaxMembers && unresponsiveVoter.ID != 0:
-		// A full group has one more member while the successor of a lost one learns.
+		// A full group has one more member while the successor of a silent voter learns.
 		return Action{Kind: Add, Cause: JoinRequested, ID: newJoiners[0].ID, Addr: newJoiners[0].Addr}
 	}
 	return Action{}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -208,7 +208,7 @@
 	g.runs.trackResponse(run, resp, func() {
 		g.recordCompletion(run, info)
 		if info.NotRun || info.Signed {
-			g.admission.RecordSoundness(hb.ID, false)
+			g.admission.RecordIntegrity(hb.ID, false)
 		}
 	})
 	g.upstream.recordResponse(hb, info, false)
@@ -241,7 +241,7 @@
 		}
 	}
 	common := g.newResponseMeta()
-	res.meta.Load, res.meta.Soundness, res.meta.Epoch = common.Load, common.Soundness, common.Epoch
+	res.meta.Load, res.meta.Integrity, res.meta.Epoch = common.Load, common.Integrity, common.Epoch
 	return res
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,7 +62,7 @@
 		if n := g.upstream.nodeRecord(); n.Upstream == mulberrylink.UpstreamUp || n.Upstream == mulberrylink.UpstreamCold {
 			add(n)
 			g.balancer.RecordLoad(n.Name, g.admission.Load(), time.Now())
-			g.balancer.RecordSoundness(n.Name, g.admission.Soundness())
+			g.balancer.RecordIntegrity(n.Name, g.admission.Integrity())
 		}
 	}
 	return all, nodes
@@ -204,7 +204,7 @@
 		OnInterim: func(h http.Header) {
 			text := h.Get(hop.Header)
 			if text == "" {
-				return // of the upstream, which may send many
+				return // only nodes set the header; this is an interim response of the upstream
 			}
 			if interim, err := hop.ParseResponseMeta(text); err == nil {
 				g.balancer.RecordLoad(a.node.Name, interim.Load, time.Now())
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -333,7 +333,7 @@
 	g.mergeSuspicion(s.req.fingerprint, res.meta.Suspicion)
 	if res.meta.Epoch != "" {
 		g.balancer.RecordLoad(a.node.Name, res.meta.Load, now)
-		g.balancer.RecordSoundness(a.node.Name, decodeSoundness(res.meta.Soundness, now))
+		g.balancer.RecordIntegrity(a.node.Name, decodeIntegrity(res.meta.Integrity, now))
 	}
 	switch {
 	case res.meta.RejectReason == reasonNodeUnreachable:
@@ -368,7 +368,7 @@
 		ExchangeID: exchangeID{process: process{node: req.g.cfg.Name, epoch: req.g.epoch}, seq: req.g.exchangeSeq.Add(1)}.String(),
 		Service:    req.service, Route: req.route.Name, Kind: req.route.Kind, CallerService: req.g.upstream.current().Service,
 		Priority: req.route.Priority, Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
-		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint), Soundness: encodeSoundness(req.g.balancer.Soundness(a.node.Name), now),
+		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint), Integrity: encodeIntegrity(req.g.balancer.Integrity(a.node.Name), now),
 	}
 	if s.slowerRejections < maxSlowerRejections {
 		meta.AlternativeCost = a.choice.AlternativeCost
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -56,7 +56,7 @@
 		}
 	}
 	g.mergeSuspicion(meta.Fingerprint, meta.Suspicion)
-	g.mergeSoundness(meta.Soundness)
+	g.mergeIntegrity(meta.Integrity)
 	req := &upstreamRequest{
 		meta: meta, method: r.Method, target: r.RequestURI, host: r.Host,
 		header: ingress.EndToEndHeaders(r.Header), length: r.ContentLength, mem: mem,
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -53,17 +53,18 @@
 	Fingerprint uint64
 	// Suspicion is what the entry node knows of the fingerprint.
 	Suspicion Suspicion
-	// Soundness is what the entry node knows of the upstream.
-	Soundness Soundness
+	// Integrity is what the entry node knows of the upstream.
+	Integrity Integrity
 }
 
-// Soundness is the estimate of package soundness for an upstream. The zero value is that of a sound one.
-type Soundness struct {
+// Integrity is the estimate of package integrity for an upstream. The zero value is that of
+// one without malformed responses.
+type Integrity struct {
 	Instance             uint32
 	Malformed, Responses float64
 }
 
-func (e Soundness) encode() string {
+func (e Integrity) encode() string {
 	return strconv.FormatUint(uint64(e.Instance), 16) + "," + strconv.FormatFloat(e.Malformed, 'f', 3, 64) + "," + strconv.FormatFloat(e.Responses, 'f', 1, 64)
 }
 
@@ -79,7 +80,7 @@
 	return strconv.FormatUint(uint64(s.Stage), 10) + "," + formatMillis(s.Remaining)
 }
 
-// requestFields is the number of fields of a request. The soundness follows them if there is one.
+// requestFields is the number of fields of a request. The integrity follows them if there is one.
 const requestFields = 10
 
 // assumedMark follows a service time that is assumed instead of observed.
@@ -96,8 +97,8 @@
 		formatMillis(m.Objective) + "," + formatMillis(m.Timeout), serviceTime,
 		strconv.FormatFloat(m.AlternativeCost, 'f', 3, 64), encodeFingerprint(m.Fingerprint, m.Suspicion),
 	}
-	if m.Soundness != (Soundness{}) {
-		fields = append(fields, m.Soundness.encode())
+	if m.Integrity != (Integrity{}) {
+		fields = append(fields, m.Integrity.encode())
 	}
 	return strings.Join(fields, ";")
 }
@@ -129,7 +130,7 @@
 	}
 	meta.Fingerprint, meta.Suspicion = p.fingerprint(fields[9])
 	if len(fields) > requestFields {
-		meta.Soundness = p.soundness(fields[requestFields])
+		meta.Integrity = p.integrity(fields[requestFields])
 	}
 	return meta, errors.Wrap(p.err, "parse hop header of a request")
 }
@@ -153,8 +154,8 @@
 	Epoch string
 	// Suspicion is what the admitting node knows of the fingerprint of the request.
 	Suspicion Suspicion
-	// Soundness is what the admitting node knows of its upstream.
-	Soundness Soundness
+	// Integrity is what the admitting node knows of its upstream.
+	Integrity Integrity
 }
 
 // Encode returns the header value of a response.
@@ -170,21 +171,21 @@
 		strconv.FormatFloat(m.Load.Slowdown, 'f', 2, 64), strconv.FormatFloat(m.Load.FailureRate, 'f', 2, 64),
 		strconv.Itoa(flags), formatMillis(m.ServiceTime), m.RejectReason, formatMillis(m.RetryAfter), m.Epoch,
 	}
-	unsound := m.Soundness != (Soundness{})
-	if m.Load.RateWait > 0 || m.Suspicion.Remaining > 0 || unsound {
+	hasIntegrity := m.Integrity != (Integrity{})
+	if m.Load.RateWait > 0 || m.Suspicion.Remaining > 0 || hasIntegrity {
 		fields = append(fields, formatMillis(m.Load.RateWait))
 	}
-	if m.Suspicion.Remaining > 0 || unsound {
+	if m.Suspicion.Remaining > 0 || hasIntegrity {
 		fields = append(fields, m.Suspicion.encode())
 	}
-	if unsound {
-		fields = append(fields, m.Soundness.encode())
+	if hasIntegrity {
+		fields = append(fields, m.Integrity.encode())
 	}
 	return strings.Join(fields, ";")
 }
 
 // responseFields is the number of fields of a response. The rate wait, the suspicion and the
-// soundness follow them, up to the last one that there is.
+// integrity follow them, up to the last one that there is.
 const (
 	responseFields    = 8
 	maxResponseFields = responseFields + 3
@@ -217,7 +218,7 @@
 		meta.Suspicion = p.suspicion(fields[responseFields+1])
 	}
 	if len(fields) > responseFields+2 {
-		meta.Soundness = p.soundness(fields[responseFields+2])
+		meta.Integrity = p.integrity(fields[responseFields+2])
 	}
 	return meta, errors.Wrap(p.err, "parse hop header of a response")
 }
@@ -259,14 +260,14 @@
 	return Suspicion{Stage: uint32(n), Remaining: max(0, p.millis(remaining))}
 }
 
-func (p *fieldParser) soundness(s string) Soundness {
+func (p *fieldParser) integrity(s string) Integrity {
 	instance, counts, _ := strings.Cut(s, ",")
 	malformed, responses, _ := strings.Cut(counts, ",")
 	n, err := strconv.ParseUint(instance, 16, 32)
 	if err != nil && p.err == nil {
 		p.err = err
 	}
-	return Soundness{Instance: uint32(n), Malformed: max(0, p.float(malformed)), Responses: max(0, p.float(responses))}
+	return Integrity{Instance: uint32(n), Malformed: max(0, p.float(malformed)), Responses: max(0, p.float(responses))}
 }
 
 func (p *fieldParser) float(s string) float64 {
