gateway: TestNoWorkForUpstreamsThatLeave waits until both nodes know the domain

Cause: the test waited until one node refuses requests because a failure domain is out of service, and asked the other node at once. Each node hears of it over a feed of its own. With a pause of 60 ms before node n2 applies a state, the test fails at this line in 5 of 5 runs.

With the pause it passes 5 of 5.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -184,7 +184,9 @@
 	}
 	is.Equal(a.upstream.totalRuns(), before)
 	d.setDomainOut("d2", true)
-	waitFor(t, 2*time.Second, "rejection", func() bool { return a.send("GET", "/read/1", "x", "").status == http.StatusServiceUnavailable })
+	for _, n := range []*node{a, b} { // each hears of it over a feed of its own
+		waitFor(t, 2*time.Second, "rejection", func() bool { return n.send("GET", "/read/1", "x", "").status == http.StatusServiceUnavailable })
+	}
 	before = b.upstream.totalRuns()
 	is.Equal(b.send("GET", "/read/1", "y", "").status, http.StatusServiceUnavailable)
 	is.Equal(b.upstream.totalRuns(), before)
