controlhost: late messages of a leader do not keep a removed host from joining

What operators would have seen: after losses of control hosts that the group bears one by one, no change is accepted and no read answered.

Cause: a host that was cut off is replaced, since it had been silent for longer than one that was lost for good. After the cut, messages arrive that the leader had sent before the removal. Each counted as contact with a leader for an election timeout, so the host did not ask whether it is a member (after 2 s without a leader) and did not take the place of the host that was lost before two more disks were.

Change: a leader counts only when it is known for 1 s without a break.

--- a/controlhost/group.go
+++ b/controlhost/group.go
@@ -38,6 +38,9 @@
 	// noLeaderTimeout is how long a member has no leader before it asks other control hosts whether
 	// it is still a member.
 	noLeaderTimeout = 2 * time.Second
+	// steadyLeaderTime is how long a leader must be known to count. A message that a leader sent before
+	// it removed this member, and that arrives late, is followed for one election timeout.
+	steadyLeaderTime = time.Second
 	// memberChangeTimeout bounds one membership change.
 	memberChangeTimeout = time.Second
 	// peerTimeout is the time without a message from another control host that knows a leader, after
@@ -146,11 +149,11 @@
 }
 
 // joinLoop sends join requests to the known control hosts while this host has no group, or has had
-// no leader for noLeaderTimeout and may have been removed.
+// no steady leader for noLeaderTimeout and may have been removed.
 func (h *Host) joinLoop(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
-	leaderSeenAt := time.Now()
+	contact := leaderContact{steadyAt: time.Now()}
 	hosts := slices.Clone(h.cfg.Seeds)
 	addSeeds := func() {
 		h.seedMu.Lock()
@@ -163,11 +166,9 @@
 			return
 		case now := <-ticker.C:
 			status := h.replica.Load().quorumHost.Status()
-			if status.Leader != 0 && len(status.Members) > 0 && !errors.Is(status.Err, quorum.ErrStopped) {
-				leaderSeenAt = now
-			}
+			contact.observe(status.Leader != 0 && len(status.Members) > 0 && !errors.Is(status.Err, quorum.ErrStopped), now)
 			blank := len(status.Members) == 0
-			if !blank && now.Sub(leaderSeenAt) < noLeaderTimeout {
+			if !blank && !contact.isMissing(now) {
 				continue
 			}
 			addSeeds()
@@ -176,6 +177,25 @@
 	}
 }
 
+// leaderContact tells whether a member has had no steady leader for some time.
+type leaderContact struct {
+	since    time.Time // since when a leader is known, zero without one
+	steadyAt time.Time // when a steady leader was last known
+}
+
+func (l *leaderContact) observe(hasLeader bool, now time.Time) {
+	switch {
+	case !hasLeader:
+		l.since = time.Time{}
+	case l.since.IsZero():
+		l.since = now
+	case now.Sub(l.since) >= steadyLeaderTime:
+		l.steadyAt = now
+	}
+}
+
+func (l *leaderContact) isMissing(now time.Time) bool { return now.Sub(l.steadyAt) >= noLeaderTimeout }
+
 // AddSeeds adds addresses that join requests are sent to, for example after the settings changed.
 func (h *Host) AddSeeds(addrs []string) {
 	h.seedMu.Lock()
--- a/coordination/quorum/replace_test.go
+++ b/coordination/quorum/replace_test.go
@@ -21,6 +21,7 @@
 	changeInterval      = 20 * time.Millisecond
 	memberChangeTimeout = time.Second
 	noLeaderTimeout     = 2 * time.Second
+	steadyLeaderTime    = time.Second
 	joinRequestTTL      = time.Second
 	callTimeout         = 800 * time.Millisecond
 	// joinInterval includes the wait for hosts that do not reply.
@@ -49,7 +50,8 @@
 	proposed     bool
 	changeEndsAt time.Duration
 	nextInquiry  time.Duration
-	leaderSeenAt time.Duration
+	leaderSince  time.Duration // 0 without a leader
+	leaderSeenAt time.Duration // when a steady leader was last known
 }
 
 // inquiry is a join request that waits for the read barrier of the leader.
@@ -90,7 +92,12 @@
 func (r *replacement) inquire(n *simNode) {
 	k, c := r.keeper(n), n.host.core
 	blank := len(c.members()) == 0
-	if c.leader != 0 && !blank {
+	switch {
+	case c.leader == 0 || blank:
+		k.leaderSince = 0
+	case k.leaderSince == 0:
+		k.leaderSince = r.now
+	case r.now-k.leaderSince >= steadyLeaderTime:
 		k.leaderSeenAt = r.now
 	}
 	if r.now < k.nextInquiry || !blank && r.now-k.leaderSeenAt < noLeaderTimeout {
