placement, capacity: an upstream with malformed responses is in reserve

Change: from its first malformed response on an upstream is passed over by requests of every kind while others have room (half of the slots of those that could start it at once hold the load of all). Trust takes three times as many well-formed responses as the rate has in one malformed one. The node beside the upstream grants trials to single requests that may run again, so that a trial gets a malformed response in 30 s at most on average over all nodes; each relapse doubles the interval. An entry node that does not know of the reserve has its request passed back and learns it. When the others have no room, placement is as before, and each response counts.

--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -128,11 +128,16 @@
 	c.failureRate, c.failureRateAt = cur+failureWeight*(target-cur), now
 }
 
-// RecordIntegrity records whether a response of an instance of the upstream was malformed.
-func (c *Controller) RecordIntegrity(id string, malformed bool) {
+// RecordIntegrity records whether a response of an instance of the upstream was malformed. It reports
+// whether the upstream has entered or left the reserve or has had a relapse.
+func (c *Controller) RecordIntegrity(id string, malformed bool) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.integrity.RecordResponse(id, malformed, c.now())
+	now := c.now()
+	before := c.integrity.Estimate()
+	c.integrity.RecordResponse(id, malformed, now)
+	after := c.integrity.Estimate()
+	return before.Reserved(now) != after.Reserved(now) || before.Relapses < after.Relapses
 }
 
 // MergeIntegrity takes over what another node knows of the upstream, and reports whether this
@@ -240,6 +245,10 @@
 	case len(c.queue) >= maxQueueLength:
 		return Rejection{Reason: Full, RetryAfter: c.drainTime(len(c.queue), now)}
 	}
+	passedOver := c.passesOver(req, now)
+	if passedOver && (!req.Trial || !c.integrity.Estimate().TrialDue(now)) {
+		return Rejection{Reason: Reserved}
+	}
 	ahead := c.position(req, now)
 	wait, earliest := time.Duration(0), time.Duration(0)
 	if c.running >= c.limit {
@@ -260,9 +269,19 @@
 	if wait > 0 && c.tooLate(now, finishWithMargin(wait), finishWithMargin(earliest), req) {
 		return Rejection{Reason: Full, RetryAfter: earliest}
 	}
+	if passedOver && !c.integrity.TakeTrial(now) {
+		return Rejection{Reason: Reserved}
+	}
 	return Rejection{}
 }
 
+// passesOver reports whether the upstream is in reserve and another one has room for the request. The
+// entry node decides the same way with the estimate that it knows (coordination/placement).
+func (c *Controller) passesOver(req *Request, now time.Time) bool {
+	e := c.integrity.Estimate()
+	return req.SoundAlternative && e.Reserved(now) && req.SoundExtraCost <= placement.ReserveCost(e, now)
+}
+
 // rateWait returns how long the request rate of the upstream delays a request with ahead others
 // before it in the queue.
 func (c *Controller) rateWait(ahead int, now time.Time) time.Duration {
--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -27,7 +27,9 @@
 // requests: Load.RateWait tells entry nodes which upstreams have room for another one.
 //
 // The controller also holds the record of the upstream's malformed responses
-// (coordination/integrity), whose rate is a part of that comparison.
+// (coordination/integrity), whose rate is a part of that comparison. While the upstream is in reserve,
+// a request for which the entry node knows a well-formed upstream with room is rejected with Reserved,
+// apart from trials.
 //
 // # Usage
 //
@@ -104,6 +106,9 @@
 	Limited // limited
 	// Slower means that the request has a lower expected cost at another upstream.
 	Slower // slower
+	// Reserved means that the upstream is in reserve after malformed responses, and that another one
+	// has room for the request.
+	Reserved // reserved
 	// Expired means that the deadline passed or the request was canceled while it was
 	// queued.
 	Expired // expired
@@ -144,4 +149,9 @@
 	// AlternativeCost is the expected cost at the best other upstream, as estimated by
 	// package placement, or 0 when there is no other upstream.
 	AlternativeCost float64
+	// SoundAlternative is true if the entry node knows an upstream that is not in reserve and has room
+	// for the request, and SoundExtraCost is by how much the cost there is higher. Trial is true if the
+	// request may test whether this upstream is well-formed again.
+	SoundAlternative, Trial bool
+	SoundExtraCost          float64
 }
--- a/coordination/capacity/reason_string.go
+++ b/coordination/capacity/reason_string.go
@@ -14,12 +14,13 @@
 	_ = x[Warming-3]
 	_ = x[Limited-4]
 	_ = x[Slower-5]
-	_ = x[Expired-6]
+	_ = x[Reserved-6]
+	_ = x[Expired-7]
 }
 
-const _Reason_name = "admittedclosedfullwarminglimitedslowerexpired"
+const _Reason_name = "admittedclosedfullwarminglimitedslowerreservedexpired"
 
-var _Reason_index = [...]uint8{0, 8, 14, 18, 25, 32, 38, 45}
+var _Reason_index = [...]uint8{0, 8, 14, 18, 25, 32, 38, 46, 53}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/coordination/integrity/integrity.go
+++ b/coordination/integrity/integrity.go
@@ -5,21 +5,29 @@
 //
 // The rate is taken over responses and not over time: each well-formed response lowers it. It is the
 // expected loss of a request that may run only once, since its response can't be asked for again.
-// coordination/placement adds it to the cost of such requests, so that they go to other upstreams as
-// long as these have room. Requests that may run again are placed as before, because another upstream
-// answers them after a malformed response. They show whether the upstream is still faulty.
+// coordination/placement adds it to the cost of such requests.
 //
-// The node beside the upstream, through which every request passes, keeps the Record. Nodes tell
-// each other the Estimate with requests and responses (protocol/hop), so that it outlasts a restart
-// of one of them. It belongs to one instance of the upstream; the next one starts without it.
+// An upstream with a malformed response is in reserve: coordination/placement passes it over for requests
+// of every kind while well-formed upstreams have room. It leaves the reserve after as many well-formed
+// responses as its rate asks for. A rate of one in n would show itself in 3n responses with a probability
+// of 95%. When the others have no room, the upstream is in use and its responses count. When they have,
+// its node admits trials: single requests that may run again, which another upstream answers if the
+// response is malformed. The interval between trials makes a faulty upstream send one malformed response
+// to a trial in trustDelay/3 on average, whatever its rate is and however many nodes send requests. With
+// each relapse the interval doubles.
+//
+// The node beside the upstream, through which every request passes, keeps the Record and grants the
+// trials. Nodes tell each other the Estimate with requests and responses (protocol/hop), so that it
+// outlasts a restart of one of them. It belongs to one instance of the upstream; the next one starts
+// without it.
 //
 // # Usage
 //
 //	var r integrity.Record
 //	r.Begin("i-7f3a91c2", 1700000000000)
 //	r.RecordResponse("i-7f3a91c2", malformed, now)
-//	if !repeatable {
-//		cost += r.Estimate().Rate(now)
+//	if r.Estimate().Reserved(now) && !r.TakeTrial(now) {
+//		return errReserved
 //	}
 package integrity
 
@@ -40,6 +48,18 @@
 	// decay is the time constant with which the rate is forgotten. It matters only without responses:
 	// an upstream that gets no request can't show that it has been mended.
 	decay = 30 * time.Second
+	// evidenceFactor is the number of well-formed responses that trust asks for, as a multiple of the
+	// responses in which one was malformed. With the same rate they would all be well-formed with a
+	// probability of exp(-3), 5%.
+	evidenceFactor = 3
+	// maxEvidence is the evidence that the lowest rate asks for which counts at all.
+	maxEvidence = evidenceFactor / minRate
+	// trustDelay is the time until a mended upstream is trusted again if it gets nothing but trials. A
+	// repair usually restarts the upstream, and a new instance is trusted at once, so that few requests
+	// that are answered late outweigh a short delay.
+	trustDelay = 90 * time.Second
+	// maxRelapses bounds the doubling of the interval between trials.
+	maxRelapses = 2
 )
 
 // Estimate is what is known of one instance of an upstream. The zero value is that of
@@ -50,6 +70,16 @@
 	// Malformed and Responses are the weighted numbers of malformed and of all responses until At.
 	Malformed, Responses float64
 	At                   time.Time
+	// Required is the number of well-formed responses that trust asks for since the last malformed
+	// one, and Missing the number that has not been received yet.
+	Required, Missing int
+	// Relapses is the number of malformed responses while the upstream was in reserve or shortly after
+	// it. Those in quick succession count as one.
+	Relapses int
+	// TrialAt is when the next trial may start.
+	TrialAt time.Time
+	// ReservedUntil is when the upstream leaves the reserve if it gets no requests.
+	ReservedUntil time.Time
 }
 
 // Rate returns the expected share of malformed responses.
@@ -65,12 +95,41 @@
 	return e.Malformed * math.Exp(-float64(max(0, now.Sub(e.At)))/float64(decay))
 }
 
+// Reserved reports whether the upstream is passed over while others have room.
+func (e Estimate) Reserved(now time.Time) bool {
+	return e.Missing > 0 && e.Required > 0 && now.Before(e.ReservedUntil)
+}
+
+// ReservedRate returns the rate that trust has to disprove, 0 for an upstream that is not in reserve. It
+// does not fall with time.
+func (e Estimate) ReservedRate(now time.Time) float64 {
+	if !e.Reserved(now) {
+		return 0
+	}
+	return min(1, evidenceFactor/float64(e.Required))
+}
+
+// TrialDue reports whether the next trial of an upstream in reserve may start.
+func (e Estimate) TrialDue(now time.Time) bool { return !now.Before(e.TrialAt) }
+
+// TrialInterval returns the time between two trials.
+func (e Estimate) TrialInterval() time.Duration {
+	return e.trustDelay() / time.Duration(max(1, e.Required))
+}
+
+func (e Estimate) trustDelay() time.Duration {
+	return trustDelay << min(max(0, e.Relapses), maxRelapses)
+}
+
 // Record is the record of the upstream beside a node. Its methods are not safe for concurrent use.
 type Record struct {
 	id          string
 	incarnation int64
 	estimate    Estimate
 	settled     bool // estimates of other nodes are not taken over
+	// wellFormed is the number of responses since the last malformed one, and malformedAt its time.
+	wellFormed  int
+	malformedAt time.Time
 }
 
 // Begin starts the record of an instance. It keeps the record if the instance is the known one:
@@ -80,6 +139,7 @@
 	if !same && r.id != "" {
 		// Other nodes may still hold the estimate of the former process of the same identity.
 		r.estimate, r.settled = Estimate{}, true
+		r.wellFormed, r.malformedAt = 0, time.Time{}
 	}
 	if !same || incarnation != 0 {
 		r.id, r.incarnation = id, incarnation
@@ -97,7 +157,40 @@
 	if malformed {
 		e.Malformed++
 		r.settled = true
+		r.reserve(now)
+	} else {
+		r.wellFormed++
+		e.Missing = max(0, e.Missing-1)
+		if r.wellFormed >= maxEvidence {
+			e.Required, e.Relapses = 0, 0
+		}
 	}
+	e.ReservedUntil = now.Add(e.trustDelay())
+}
+
+// reserve puts the upstream in reserve after a malformed response.
+func (r *Record) reserve(now time.Time) {
+	e := &r.estimate
+	oneIn := 1 / max(e.Rate(now), minRate)
+	if e.Required > 0 && now.Sub(r.malformedAt) >= e.TrialInterval() {
+		e.Relapses = min(e.Relapses+1, maxRelapses)
+		oneIn = max(oneIn, float64(r.wellFormed+1))
+	}
+	e.Required = int(math.Ceil(min(evidenceFactor*oneIn, maxEvidence)))
+	e.Missing = e.Required
+	e.TrialAt = now.Add(e.TrialInterval())
+	r.wellFormed, r.malformedAt = 0, now
+}
+
+// TakeTrial reports whether a request may be sent to the upstream as a trial, and if so starts the
+// interval until the next one.
+func (r *Record) TakeTrial(now time.Time) bool {
+	e := &r.estimate
+	if !e.Reserved(now) || !e.TrialDue(now) {
+		return false
+	}
+	e.TrialAt = now.Add(e.TrialInterval())
+	return true
 }
 
 // Merge takes over the estimate that another node has of the upstream, if this process has not seen a
@@ -107,6 +200,8 @@
 		return false
 	}
 	r.estimate, r.settled = e, true
+	r.malformedAt = time.Time{}
+	r.wellFormed = max(0, e.Required-e.Missing)
 	return true
 }
 
--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -50,6 +50,16 @@
 	// doubles with each further failure, up to maxUnreachablePause.
 	unreachablePause    = 300 * time.Millisecond
 	maxUnreachablePause = 3 * time.Second
+	// minReserveCost is the smallest cost of a request at an upstream in reserve while others have
+	// room. The rate of malformed responses is added to it: the response is as likely to be
+	// well-formed but wrong, which no node can detect.
+	minReserveCost = 0.03
+	// maxReserveLoad is the share of the slots of the upstreams that are not in reserve up to which
+	// they have room. The rest is for bursts, and for the choice of undisturbed hosts.
+	maxReserveLoad = 0.5
+	// maxEstimateAge is the age from which the estimate of an upstream in reserve is renewed. Its node
+	// may have restarted, or may be beside another instance.
+	maxEstimateAge = 5 * time.Second
 )
 
 // Config holds the settings of a Balancer.
@@ -109,6 +119,9 @@
 	Reroutable bool
 	// Repeatable is true if the request may run more than once.
 	Repeatable bool
+	// Trial is true if the request can be sent to another upstream after a malformed response, so
+	// that it may be a trial of one in reserve.
+	Trial bool
 	// Exclude contains the candidates that already rejected or failed this request.
 	Exclude map[string]bool
 }
@@ -125,6 +138,13 @@
 	LoadAge time.Duration
 	// Slowdown is the expected slowdown of the host.
 	Slowdown float64
+	// SoundAlternative is true if another candidate that is not in reserve has room for the request,
+	// and SoundExtraCost is by how much the cost there is higher.
+	SoundAlternative bool
+	SoundExtraCost   float64
+	// PassedOver is the name of an upstream in reserve that would have been chosen for its cost,
+	// empty without one.
+	PassedOver string
 }
 
 // upstreamState is what a Balancer knows of one upstream.
@@ -137,6 +157,7 @@
 	penalizedUntil time.Time
 	unreachable    int // consecutive failures to reach the node
 	integrity      integrity.Estimate
+	askAt          time.Time // when the node may be asked whether its upstream is still in reserve
 }
 
 // Balancer holds the state of all upstreams as known to one entry node, and chooses among
@@ -146,6 +167,7 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstreamState
+	evaluated []evaluation // used by Choose
 }
 
 // New returns a Balancer that knows no upstream. Upstreams are added on first use.
@@ -167,28 +189,48 @@
 func (b *Balancer) Choose(now time.Time, req *Request, candidates []Candidate) (best Choice, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	second := math.Inf(1)
-	best.Cost = math.Inf(1)
+	b.evaluated = b.evaluated[:0]
 	for i := range candidates {
-		if req.Exclude[candidates[i].Name] {
-			continue
-		}
-		c := b.evaluate(now, req, &candidates[i])
-		if c.Cost < best.Cost {
-			second = best.Cost
-			best, ok = c, true
-		} else if c.Cost < second {
-			second = c.Cost
+		if !req.Exclude[candidates[i].Name] {
+			b.evaluated = append(b.evaluated, b.evaluate(now, req, &candidates[i]))
 		}
 	}
-	if !math.IsInf(second, 1) {
-		best.AlternativeCost = second
+	if len(b.evaluated) == 0 {
+		return Choice{}, false
+	}
+	passedOver := b.applyReserve(now)
+	chosen, second := cheapestTwo(b.evaluated)
+	best = b.evaluated[chosen].Choice
+	if second >= 0 {
+		best.AlternativeCost = b.evaluated[second].Cost
+	}
+	best.SoundExtraCost, best.SoundAlternative = b.soundAlternative(chosen)
+	if passedOver != best.Name {
+		best.PassedOver = passedOver
+	}
+	if s := b.evaluated[chosen].state; s.integrity.Reserved(now) && req.Trial {
+		s.askAt = now.Add(min(s.integrity.TrialInterval(), maxEstimateAge))
+	}
+	return best, true
+}
+
+// cheapestTwo returns the indexes of the two candidates with the lowest costs; the second one is -1
+// when there is only one.
+func cheapestTwo(list []evaluation) (first, second int) {
+	first, second = 0, -1
+	for i := 1; i < len(list); i++ {
+		switch {
+		case list[i].Cost < list[first].Cost:
+			first, second = i, first
+		case second < 0 || list[i].Cost < list[second].Cost:
+			second = i
+		}
 	}
-	return best, ok
+	return first, second
 }
 
 // evaluate returns the estimates for one candidate.
-func (b *Balancer) evaluate(now time.Time, req *Request, c *Candidate) Choice {
+func (b *Balancer) evaluate(now time.Time, req *Request, c *Candidate) evaluation {
 	s := b.state(c.Name)
 	choice := Choice{Name: c.Name, LoadAge: -1}
 	load := s.load
@@ -257,7 +299,9 @@
 		choice.Cost += s.integrity.Rate(now)
 	}
 	choice.Cost += rand.Float64() * 0.002 // random choice among equal candidates
-	return choice
+	e := evaluation{Choice: choice, state: s, load: queued, slots: load.Slots}
+	e.checkReserve(now, req, c)
+	return e
 }
 
 // failureProbability returns the probability that a request to the upstream fails.
@@ -318,11 +362,15 @@
 	s.unreachable = 0
 }
 
-// RecordIntegrity records the estimate of the malformed responses of an upstream.
-func (b *Balancer) RecordIntegrity(name string, e integrity.Estimate) {
+// RecordIntegrity records the estimate of the malformed responses of an upstream, as its node states it.
+func (b *Balancer) RecordIntegrity(name string, e integrity.Estimate, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(name).integrity = e
+	s := b.state(name)
+	s.integrity, s.askAt = e, now.Add(maxEstimateAge)
+	if e.TrialAt.Before(s.askAt) {
+		s.askAt = e.TrialAt
+	}
 }
 
 // Integrity returns the estimate that was recorded last, the zero value for an unknown upstream.
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -235,7 +235,7 @@
 			b.RequestEnded(done.name)
 			b.RecordResult(done.name, malformed, now)
 			b.RecordLoad(done.name, placement.Load{Running: b.InFlight(done.name), Slots: 6, Slowdown: 1}, now)
-			b.RecordIntegrity(done.name, records[done.name].Estimate())
+			b.RecordIntegrity(done.name, records[done.name].Estimate(), now)
 		}
 		req := request(now)
 		req.ServiceTime, req.Repeatable = serviceTime, i%2 == 0
--- a/coordination/retry/budgets.go
+++ b/coordination/retry/budgets.go
@@ -119,6 +119,14 @@
 	return true
 }
 
+// HasToken reports whether the budget of a service allows an extra attempt now. It takes no token.
+func (b *Budgets) HasToken(service string) bool {
+	s, now := b.budget(service), b.cfg.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tokens >= tokenUnits || s.reserveLeft > 0 || s.reserve > 0 && !now.Before(s.nextRefill)
+}
+
 // Retain drops the budgets of the services for which keep returns false.
 func (b *Budgets) Retain(keep func(service string) bool) {
 	b.mu.Lock()
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -97,6 +97,7 @@
 	}
 	permit, rejection := g.admission.Acquire(ctx, &capacity.Request{
 		ServiceTime: req.meta.ServiceTime, Priority: req.meta.Priority, Repeatable: req.meta.Kind == routes.Safe, Objective: req.objective, Deadline: req.deadline, AlternativeCost: req.meta.AlternativeCost,
+		SoundAlternative: req.meta.SoundAlternative, SoundExtraCost: req.meta.SoundExtraCost, Trial: req.meta.Trial,
 	})
 	if permit == nil {
 		load := g.admission.Load()
@@ -208,7 +209,7 @@
 	g.runs.trackResponse(run, resp, func() {
 		g.recordCompletion(run, info)
 		if info.NotRun || info.Signed {
-			g.admission.RecordIntegrity(hb.ID, false)
+			g.recordIntegrity(hb.ID, false)
 		}
 	})
 	g.upstream.recordResponse(hb, info, false)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -19,8 +19,9 @@
 const reasonNodeUnreachable = "lostnode"
 
 var (
-	reasonSlower  = capacity.Slower.String()
-	reasonWarming = capacity.Warming.String()
+	reasonSlower   = capacity.Slower.String()
+	reasonReserved = capacity.Reserved.String()
+	reasonWarming  = capacity.Warming.String()
 )
 
 const (
@@ -62,7 +63,7 @@
 		if n := g.upstream.nodeRecord(); n.Upstream == mulberrylink.UpstreamUp || n.Upstream == mulberrylink.UpstreamCold {
 			add(n)
 			g.balancer.RecordLoad(n.Name, g.admission.Load(), time.Now())
-			g.balancer.RecordIntegrity(n.Name, g.admission.Integrity())
+			g.balancer.RecordIntegrity(n.Name, g.admission.Integrity(), time.Now())
 		}
 	}
 	return all, nodes
@@ -94,15 +95,19 @@
 	if !ok {
 		return false
 	}
+	trial := kind == firstAttempt && s.mayBeTrial()
 	choice, ok := g.balancer.Choose(now, &placement.Request{
 		ServiceTime: req.serviceTime, Objective: req.objective, Deadline: req.deadline, Exclude: s.excluded, SizeKiB: req.sizeKiB(), Value: req.value(),
-		Reroutable: s.slowerRejections < maxSlowerRejections, Repeatable: req.route.Kind == routes.Safe,
+		Reroutable: s.slowerRejections < maxSlowerRejections, Repeatable: req.route.Kind == routes.Safe, Trial: trial,
 	}, all)
 	if !ok || kind == hedgeAttempt && choice.Cost > maxHedgeCost || kind != firstAttempt && !s.takeRetry() {
 		return false
 	}
 	s.placements++
-	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, start: now, hedge: kind == hedgeAttempt}
+	if choice.PassedOver != "" {
+		g.stats.count("passed_over_reserve")
+	}
+	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, start: now, hedge: kind == hedgeAttempt, trial: trial}
 	ctx, cancel := context.WithCancel(s.ctx)
 	a.cancel = cancel
 	s.running = append(s.running, a)
@@ -125,6 +130,12 @@
 	return true
 }
 
+// mayBeTrial reports whether the request can be sent to another upstream after a malformed response.
+func (s *requestState) mayBeTrial() bool {
+	req := s.req
+	return req.route.Kind == routes.Safe && s.attempts+1 < req.route.MaxAttempts && req.replayable() && req.g.retryBudgets.HasToken(req.service)
+}
+
 // sizeKiB returns the size of the request plus the expected size of the response.
 func (q *request) sizeKiB() float64 {
 	return headersKiB + float64(max(0, q.length))/1024 + q.g.transferSizes.MeanOr(q.route.Name, time.Second).Seconds()
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -147,6 +147,7 @@
 	local  bool
 	choice placement.Choice
 	hedge  bool
+	trial  bool // may test whether an upstream in reserve is well-formed again
 	start  time.Time
 	cancel context.CancelFunc
 	res    result
@@ -258,8 +259,8 @@
 		s.rejectReason, s.retryAfter = res.meta.RejectReason, earliestRetryAfter(s.retryAfter, res.meta.RetryAfter)
 		s.attempts--
 		switch res.meta.RejectReason {
-		case reasonSlower:
-			s.slowerRejections++ // its reported load keeps it from being chosen again, unless all upstreams are slow
+		case reasonSlower, reasonReserved:
+			s.slowerRejections++ // what it reports keeps it from being chosen again, unless no other has room
 		case reasonSuspect: // may be chosen again, as the node of this suspect
 		default:
 			s.excluded[a.node.Name] = true
@@ -333,7 +334,7 @@
 	g.mergeSuspicion(s.req.fingerprint, res.meta.Suspicion)
 	if res.meta.Epoch != "" {
 		g.balancer.RecordLoad(a.node.Name, res.meta.Load, now)
-		g.balancer.RecordIntegrity(a.node.Name, decodeIntegrity(res.meta.Integrity, now))
+		g.balancer.RecordIntegrity(a.node.Name, decodeIntegrity(res.meta.Integrity, now), now)
 	}
 	switch {
 	case res.meta.RejectReason == reasonNodeUnreachable:
@@ -341,7 +342,7 @@
 		g.log.Warn().Str("request", s.req.id).Str("node", a.node.Name).Str("addr", a.node.Addr).
 			Dur("pause", pause).Err(res.err).Msg("node not reached")
 	case res.meta.RejectReason != "":
-		if res.meta.RejectReason != reasonSlower {
+		if res.meta.RejectReason != reasonSlower && res.meta.RejectReason != reasonReserved {
 			g.balancer.RecordRejection(a.node.Name, now)
 		}
 		g.log.Debug().Str("request", s.req.id).Str("node", a.node.Name).Str("reason", res.meta.RejectReason).
@@ -371,7 +372,8 @@
 		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint), Integrity: encodeIntegrity(req.g.balancer.Integrity(a.node.Name), now),
 	}
 	if s.slowerRejections < maxSlowerRejections {
-		meta.AlternativeCost = a.choice.AlternativeCost
+		meta.AlternativeCost, meta.Trial = a.choice.AlternativeCost, a.trial
+		meta.SoundAlternative, meta.SoundExtraCost = a.choice.SoundAlternative, a.choice.SoundExtraCost
 	}
 	return meta
 }
--- a/gateway/integrity_test.go
+++ b/gateway/integrity_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/mulberrylink/mulberrylink/coordination/integrity"
 	"github.com/mulberrylink/mulberrylink/gateway"
 	"github.com/mulberrylink/mulberrylink/protocol/hop"
 )
@@ -67,3 +69,51 @@
 	is.Equal(n.sendHop(t, "POST", "/write/1", "next").Integrity, hop.Integrity{})
 	is.Equal(next.runsOf("next"), 2)
 }
+
+func (n *node) count(name string) int {
+	return int(metrics.GetOrRegisterCounter(name, n.registry).Count())
+}
+
+// Guards against requests of any kind that run on an upstream with malformed responses while another one
+// has room, at all entry nodes, and against one that stays in reserve when the other has none.
+func TestUpstreamWithMalformedResponsesIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	entry, faulty, sound := d.addNode("n1", "d1", "desk", 4), d.addNode("n2", "d1", "archive", 12), d.addNode("n3", "d1", "archive", 12)
+	d.waitReady(entry, faulty, sound)
+	up := &rawUpstream{bytes: map[string][]byte{"bad": []byte("HTTP/1.1 000 OK\r\n\r\n")}}
+	runWellFormed := func(name string) {
+		for i := range 30 {
+			faulty.sendHop(t, "POST", "/write/1", fmt.Sprintf("%s%d", name, i))
+		}
+	}
+	runWellFormed("earlier")
+	faulty.upstream.setHandler(up.serve)
+	known := faulty.sendHop(t, "POST", "/write/1", "bad").Integrity
+	is.True(known.Missing > 90)
+	faulty.upstream.setHandler(nil)
+	runWellFormed("later") // its recent failure rate is low again
+	send := func(name string, nodes ...*node) {
+		for i := range 20 {
+			for _, n := range nodes {
+				is.Equal(n.send("GET", "/read/1", fmt.Sprintf("%s-read-%d", name, i), "").status, http.StatusOK)
+				is.Equal(n.send("POST", "/write/1", fmt.Sprintf("%s-write-%d", name, i), "").status, http.StatusOK)
+			}
+		}
+	}
+	before, since := faulty.upstream.totalRuns(), time.Now()
+	send("reserve", entry, faulty, sound)
+	trials := 1 + int(time.Since(since)/integrity.Estimate{Required: known.Required}.TrialInterval())
+	// A request that is late at one upstream may be hedged on the other.
+	hedged := entry.count("hedged") + faulty.count("hedged") + sound.count("hedged")
+	t.Logf("%d runs, %d trials allowed, %d hedged", faulty.upstream.totalRuns()-before, trials, hedged)
+	is.True(faulty.upstream.totalRuns()-before <= trials+hedged)
+
+	sound.upstream.setHandler(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	for range 12 {
+		go sound.send("GET", "/read/1", "long", "")
+	}
+	waitFor(t, 2*time.Second, "full upstream", func() bool { return sound.upstream.maxConcurrent() == 12 })
+	is.Equal(faulty.send("GET", "/read/1", "no-room", "").status, http.StatusOK)
+	is.Equal(faulty.upstream.runsOf("no-room"), 1)
+}
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -48,6 +48,11 @@
 	ServiceTimeAssumed bool
 	// AlternativeCost is the expected cost at the best other upstream, 0 without one.
 	AlternativeCost float64
+	// SoundAlternative is true if an upstream that is not in reserve (package integrity) has room for
+	// the request, and SoundExtraCost is by how much the cost there is higher. Trial is true if the
+	// request may be a trial of an upstream in reserve.
+	SoundAlternative, Trial bool
+	SoundExtraCost          float64
 	// Fingerprint is equal for all copies of a request that a caller sends again, under
 	// whichever identifier.
 	Fingerprint uint64
@@ -62,10 +67,20 @@
 type Integrity struct {
 	Instance             uint32
 	Malformed, Responses float64
+	// Required, Missing and Relapses are those of the estimate. TrialIn and ReservedFor are the times
+	// until the next trial and the end of the reserve, sent in milliseconds.
+	Required, Missing, Relapses int
+	TrialIn, ReservedFor        time.Duration
 }
 
 func (e Integrity) encode() string {
-	return strconv.FormatUint(uint64(e.Instance), 16) + "," + strconv.FormatFloat(e.Malformed, 'f', 3, 64) + "," + strconv.FormatFloat(e.Responses, 'f', 1, 64)
+	text := strconv.FormatUint(uint64(e.Instance), 16) + "," + strconv.FormatFloat(e.Malformed, 'f', 3, 64) + "," + strconv.FormatFloat(e.Responses, 'f', 1, 64)
+	if e.Required == 0 {
+		return text
+	}
+	return strings.Join([]string{
+		text, strconv.Itoa(e.Required), strconv.Itoa(e.Missing), strconv.Itoa(e.Relapses), formatMillis(e.TrialIn), formatMillis(e.ReservedFor),
+	}, ",")
 }
 
 // Suspicion is the record that a node has of the fingerprint of a request, see package suspect.
@@ -95,7 +110,7 @@
 	fields := []string{
 		m.ExchangeID, m.Service, m.Route, strconv.Itoa(int(m.Kind)), m.CallerService, strconv.Itoa(m.Priority),
 		formatMillis(m.Objective) + "," + formatMillis(m.Timeout), serviceTime,
-		strconv.FormatFloat(m.AlternativeCost, 'f', 3, 64), encodeFingerprint(m.Fingerprint, m.Suspicion),
+		m.encodeAlternative(), encodeFingerprint(m.Fingerprint, m.Suspicion),
 	}
 	if m.Integrity != (Integrity{}) {
 		fields = append(fields, m.Integrity.encode())
@@ -103,6 +118,27 @@
 	return strings.Join(fields, ";")
 }
 
+// encodeAlternative encodes the cost of the alternative, followed by what decides about the reserve if
+// another upstream has room.
+func (m RequestMeta) encodeAlternative() string {
+	text := strconv.FormatFloat(m.AlternativeCost, 'f', 3, 64)
+	if m.SoundAlternative {
+		text += "," + strconv.Itoa(encodeFlags(m.Trial)) + "," + strconv.FormatFloat(m.SoundExtraCost, 'f', 3, 64)
+	}
+	return text
+}
+
+// encodeFlags returns a number whose bits are the flags, the first one being the lowest bit.
+func encodeFlags(flags ...bool) int {
+	n := 0
+	for i, f := range flags {
+		if f {
+			n |= 1 << i
+		}
+	}
+	return n
+}
+
 // encodeFingerprint encodes a fingerprint, and the record of it if there is one.
 func encodeFingerprint(fingerprint uint64, s Suspicion) string {
 	text := strconv.FormatUint(fingerprint, 16)
@@ -126,7 +162,13 @@
 	meta := RequestMeta{
 		ExchangeID: fields[0], Service: fields[1], Route: fields[2], Kind: routes.Kind(p.int(fields[3])), CallerService: fields[4],
 		Priority: p.int(fields[5]), Objective: p.millis(objective), Timeout: p.millis(timeout),
-		ServiceTime: p.millis(serviceTime), ServiceTimeAssumed: assumed, AlternativeCost: p.float(fields[8]),
+		ServiceTime: p.millis(serviceTime), ServiceTimeAssumed: assumed,
+	}
+	cost, reserve, found := strings.Cut(fields[8], ",")
+	meta.AlternativeCost = p.float(cost)
+	if found {
+		flags, extraCost, _ := strings.Cut(reserve, ",")
+		meta.SoundAlternative, meta.Trial, meta.SoundExtraCost = true, p.int(flags)&1 != 0, p.float(extraCost)
 	}
 	meta.Fingerprint, meta.Suspicion = p.fingerprint(fields[9])
 	if len(fields) > requestFields {
@@ -160,16 +202,10 @@
 
 // Encode returns the header value of a response.
 func (m ResponseMeta) Encode() string {
-	flags := 0
-	for i, f := range []bool{m.Load.Cold, m.NotRun, m.ExchangeFailed} {
-		if f {
-			flags |= 1 << i
-		}
-	}
 	fields := []string{
 		strconv.Itoa(m.Load.Running) + "," + strconv.Itoa(m.Load.Waiting) + "," + strconv.Itoa(m.Load.Slots),
 		strconv.FormatFloat(m.Load.Slowdown, 'f', 2, 64), strconv.FormatFloat(m.Load.FailureRate, 'f', 2, 64),
-		strconv.Itoa(flags), formatMillis(m.ServiceTime), m.RejectReason, formatMillis(m.RetryAfter), m.Epoch,
+		strconv.Itoa(encodeFlags(m.Load.Cold, m.NotRun, m.ExchangeFailed)), formatMillis(m.ServiceTime), m.RejectReason, formatMillis(m.RetryAfter), m.Epoch,
 	}
 	hasIntegrity := m.Integrity != (Integrity{})
 	if m.Load.RateWait > 0 || m.Suspicion.Remaining > 0 || hasIntegrity {
@@ -223,22 +259,32 @@
 	return meta, errors.Wrap(p.err, "parse hop header of a response")
 }
 
+// integrityFields is the number of fields of an integrity. Those of the reserve follow if the upstream
+// is or has been in reserve.
+const (
+	integrityFields = 3
+	reserveFields   = 5
+)
+
 // fieldParser converts fields and keeps the first error.
 type fieldParser struct{ err error }
 
-func (p *fieldParser) int(s string) int {
-	n, err := strconv.Atoi(s)
-	if err != nil && p.err == nil {
+// fail keeps an error if it is the first one; nil is ignored.
+func (p *fieldParser) fail(err error) {
+	if p.err == nil {
 		p.err = err
 	}
+}
+
+func (p *fieldParser) int(s string) int {
+	n, err := strconv.Atoi(s)
+	p.fail(err)
 	return n
 }
 
 func (p *fieldParser) hex(s string) uint64 {
 	n, err := strconv.ParseUint(s, 16, 64)
-	if err != nil && p.err == nil {
-		p.err = err
-	}
+	p.fail(err)
 	return n
 }
 
@@ -254,27 +300,29 @@
 func (p *fieldParser) suspicion(s string) Suspicion {
 	stage, remaining, _ := strings.Cut(s, ",")
 	n, err := strconv.ParseUint(stage, 10, 32)
-	if err != nil && p.err == nil {
-		p.err = err
-	}
+	p.fail(err)
 	return Suspicion{Stage: uint32(n), Remaining: max(0, p.millis(remaining))}
 }
 
 func (p *fieldParser) integrity(s string) Integrity {
-	instance, counts, _ := strings.Cut(s, ",")
-	malformed, responses, _ := strings.Cut(counts, ",")
-	n, err := strconv.ParseUint(instance, 16, 32)
-	if err != nil && p.err == nil {
-		p.err = err
+	fields := strings.Split(s, ",")
+	if len(fields) != integrityFields && len(fields) != integrityFields+reserveFields {
+		p.fail(errors.Newf("integrity has %d fields, want %d or %d", len(fields), integrityFields, integrityFields+reserveFields))
+		return Integrity{}
+	}
+	n, err := strconv.ParseUint(fields[0], 16, 32)
+	p.fail(err)
+	e := Integrity{Instance: uint32(n), Malformed: max(0, p.float(fields[1])), Responses: max(0, p.float(fields[2]))}
+	if len(fields) > integrityFields {
+		e.Required, e.Missing, e.Relapses = max(0, p.int(fields[3])), max(0, p.int(fields[4])), max(0, p.int(fields[5]))
+		e.TrialIn, e.ReservedFor = max(0, p.millis(fields[6])), max(0, p.millis(fields[7]))
 	}
-	return Integrity{Instance: uint32(n), Malformed: max(0, p.float(malformed)), Responses: max(0, p.float(responses))}
+	return e
 }
 
 func (p *fieldParser) float(s string) float64 {
 	x, err := strconv.ParseFloat(s, 64)
-	if err != nil && p.err == nil {
-		p.err = err
-	}
+	p.fail(err)
 	return x
 }
 
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -27,6 +27,12 @@
 	gotRequest, err = hop.ParseRequestMeta(request.Encode())
 	is.NoErr(err)
 	is.Equal(gotRequest, request)
+	request.SoundAlternative, request.Trial, request.SoundExtraCost = true, true, -0.125
+	request.Integrity.Required, request.Integrity.Missing, request.Integrity.Relapses = 126, 80, 2
+	request.Integrity.TrialIn, request.Integrity.ReservedFor = 700*time.Millisecond, 90*time.Second
+	gotRequest, err = hop.ParseRequestMeta(request.Encode())
+	is.NoErr(err)
+	is.Equal(gotRequest, request)
 	response := hop.ResponseMeta{
 		Load:         placement.Load{Running: 3, Waiting: 2, Slots: 6, Slowdown: 7, FailureRate: 0.5, Cold: true},
 		RejectReason: "slower", RetryAfter: 30 * time.Millisecond, ServiceTime: 60 * time.Millisecond, NotRun: true, ExchangeFailed: true, Epoch: "5f",
