transport/rpc: closing a connection wakes it, and small shares go first

What callers saw: a process whose peers fill the receive budget delays large messages of sound peers by up to a second, or drops them.

Cause: a connection that is closed to free bytes may wait for budget itself. Nobody woke it, so that it kept its bytes until its own wait of 1 s ended. Whoever woke up first took the freed bytes, mostly the greedy host.

Change: closing wakes all that wait, and of those that wait the connections of the host with the smallest share go first.

--- a/transport/rpc/endless_test.go
+++ b/transport/rpc/endless_test.go
@@ -85,15 +85,19 @@
 	for name, form := range endlessForms {
 		t.Run(name, func(t *testing.T) {
 			addr := serveEcho(t)
-			lastServed := time.Now()
+			lastServed, longest := time.Now(), time.Duration(0)
 			besidePeers(t, addr, form.start, form.text, maxUnserved+time.Second, func() {
 				if echoLarge(addr) == nil {
+					longest = max(longest, time.Since(lastServed))
 					lastServed = time.Now()
 				}
-				if since := time.Since(lastServed); since >= maxUnserved {
+				since := time.Since(lastServed)
+				longest = max(longest, since)
+				if since >= maxUnserved {
 					t.Fatalf("not served for %s", since)
 				}
 			})
+			t.Logf("longest time without service %s", longest)
 		})
 	}
 }
--- a/transport/rpc/limit.go
+++ b/transport/rpc/limit.go
@@ -43,12 +43,13 @@
 	mu       sync.Mutex
 	conns    map[*limitedConn]struct{}
 	reserved int
-	messages uint64        // complete messages and new connections so far
-	freed    chan struct{} // closed and replaced when bytes are returned
+	waiting  map[*limitedConn]int // bytes for which connections wait
+	messages uint64               // complete messages and new connections so far
+	changed  chan struct{}        // closed and replaced when a wait may have ended
 }
 
 func newLimiter() *limiter {
-	return &limiter{conns: make(map[*limitedConn]struct{}), freed: make(chan struct{})}
+	return &limiter{conns: make(map[*limitedConn]struct{}), waiting: make(map[*limitedConn]int), changed: make(chan struct{})}
 }
 
 // add registers a connection. Above the limit, it closes one of the host with the most.
@@ -67,24 +68,27 @@
 
 // reserve takes bytes from the budget for c. When the budget is spent, it closes connections of the host
 // with the largest share, possibly c itself, and waits until they have freed their buffers. A message
-// that is being received is newer than one that has stopped halfway.
+// that is being received is newer than one that has stopped halfway. Of the connections that wait, those
+// of the host with the smallest share go first.
 func (l *limiter) reserve(c *limitedConn, n int) error {
 	timer := time.NewTimer(reserveTimeout)
 	defer timer.Stop()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.reserved+n > maxBufferedBytes {
+	defer delete(l.waiting, c)
+	for l.reserved+n+l.awaitedBefore(c) > maxBufferedBytes {
+		l.waiting[c] = n
 		if l.heldByOpen()+n > maxBufferedBytes {
 			l.closeOne(func(c *limitedConn) int { return c.reserved })
 		}
 		if _, open := l.conns[c]; !open {
 			return errNoBuffer
 		}
-		freed := l.freed
+		changed := l.changed
 		l.mu.Unlock()
 		timedOut := false
 		select {
-		case <-freed:
+		case <-changed:
 		case <-timer.C:
 			timedOut = true
 		}
@@ -101,6 +105,36 @@
 	return nil
 }
 
+// awaitedBefore returns the bytes for which connections of hosts with a smaller share than that of c wait.
+// The caller holds mu.
+func (l *limiter) awaitedBefore(c *limitedConn) (n int) {
+	if len(l.waiting) == 0 {
+		return 0
+	}
+	shares := l.shares(func(c *limitedConn) int { return c.reserved })
+	for other, bytes := range l.waiting {
+		if _, open := l.conns[other]; open && shares[other.host] < shares[c.host] {
+			n += bytes
+		}
+	}
+	return n
+}
+
+// shares returns the sums of the weights of the open connections by host. The caller holds mu.
+func (l *limiter) shares(weight func(*limitedConn) int) map[string]int {
+	sums := make(map[string]int)
+	for c := range l.conns {
+		sums[c.host] += weight(c)
+	}
+	return sums
+}
+
+// wakeWaiting makes the connections that wait check again. The caller holds mu.
+func (l *limiter) wakeWaiting() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 // markCurrent records a complete message of c. The caller holds mu.
 func (l *limiter) markCurrent(c *limitedConn) {
 	l.messages++
@@ -119,10 +153,7 @@
 // a complete message, or else the one that has been without for the longest time. Its bytes are
 // returned once its reader has ended. The caller holds mu.
 func (l *limiter) closeOne(weight func(*limitedConn) int) {
-	sums := make(map[string]int)
-	for c := range l.conns {
-		sums[c.host] += weight(c)
-	}
+	sums := l.shares(weight)
 	var victim *limitedConn
 	for c := range l.conns {
 		if weight(c) > 0 && (victim == nil || c.yieldsBefore(victim, sums)) {
@@ -134,6 +165,7 @@
 	}
 	delete(l.conns, victim)
 	_ = victim.Conn.Close() // its peer finds the connection closed
+	l.wakeWaiting()         // the victim may wait itself, and frees its bytes only after that
 }
 
 // yieldsBefore reports whether c is closed before other.
@@ -154,8 +186,7 @@
 	}
 	l.reserved -= c.reserved
 	c.reserved = 0
-	close(l.freed)
-	l.freed = make(chan struct{})
+	l.wakeWaiting()
 }
 
 // limitedConn follows the frames that it receives, to count the bytes that drpc buffers. Only one
