--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -54,9 +54,9 @@
 	// room. The rate of malformed responses is added to it: the response is as likely to be
 	// well-formed but wrong, which no node can detect.
 	minReserveCost = 0.03
-	// maxReserveLoad is the share of the slots of the upstreams that are not in reserve up to which
-	// they have room. The rest is for bursts, and for the choice of undisturbed hosts.
-	maxReserveLoad = 0.5
+	// maxSoundLoad is the share of their slots up to which sound upstreams have room for the requests
+	// of those in reserve. The rest is for bursts, and for the choice of undisturbed hosts.
+	maxSoundLoad = 0.5
 	// maxEstimateAge is the age from which the estimate of an upstream in reserve is renewed. Its node
 	// may have restarted, or may be beside another instance.
 	maxEstimateAge = 5 * time.Second
--- a/coordination/placement/reserve.go
+++ b/coordination/placement/reserve.go
@@ -7,7 +7,8 @@
 	"github.com/mulberrylink/mulberrylink/coordination/integrity"
 )
 
-// evaluation is a candidate with its estimates and what decides about the reserve.
+// evaluation is a candidate with its estimates and what decides about the reserve. A candidate that is not
+// in reserve is called sound.
 type evaluation struct {
 	Choice
 	state *upstreamState
@@ -58,7 +59,7 @@
 	return cheapest
 }
 
-// soundHaveRoom reports whether the upstreams that could start the request at once have room for it
+// soundHaveRoom reports whether the sound upstreams that could start the request at once have room for it
 // and for the load of all candidates. Without that, a few of them would get the load of many.
 func (b *Balancer) soundHaveRoom() bool {
 	load, slots := 1.0, 0
@@ -69,7 +70,7 @@
 			slots += e.slots
 		}
 	}
-	return load <= maxReserveLoad*float64(slots)
+	return load <= maxSoundLoad*float64(slots)
 }
 
 // soundAlternative returns by how much the cost of the cheapest candidate that is not in reserve and has
