gateway: hedged requests of nodes that do not know of a reserve are rejected

Cause: an entry node that has had no response of an upstream in reserve does not know of it. Its hedged request has no other candidate left, so that it stated none, and the node beside the upstream admitted it.

Change: until the attempt that runs can hardly be in time, a hedged request states that another upstream has room. The node beside the upstream in reserve rejects it, and the entry node considers it again when it is late.

Its late part used to bound the runs at the faulty upstream by trials, for five requests at one node. The sound upstream counts as slow after the second of these, so that runs elsewhere are allowed there. It now checks for three nodes that no request that the sound upstream has begun reaches the faulty one, and that a trial does take place before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -163,13 +163,21 @@
 // lastHedgeAt returns the time from which a hedged request would miss the latency objective.
 func (s *requestState) lastHedgeAt() time.Time { return s.req.objective.Add(-s.hedgeDelay()) }
 
-// nextHedgeAt returns when a hedged request is considered again that could not be started.
-func (s *requestState) nextHedgeAt() time.Time {
+// scheduleHedge makes serve consider a hedged request again that could not be started, if it can still
+// meet the latency objective.
+func (s *requestState) scheduleHedge() {
+	at := s.req.objective
 	if s.hedgeHeld {
-		s.hedgeHeld = false
-		return s.lastHedgeAt()
+		at, s.hedgeHeld = s.lastHedgeAt(), false
 	}
-	return s.req.objective
+	if time.Now().Before(s.req.objective) {
+		s.hedgeTimer.Reset(max(time.Until(at), time.Millisecond))
+	}
+}
+
+// onlyReservedRun reports whether all attempts that run are on upstreams known to be in reserve.
+func (s *requestState) onlyReservedRun(now time.Time) bool {
+	return !slices.ContainsFunc(s.running, func(a *attempt) bool { return !a.hedge && !s.req.g.balancer.Integrity(a.node.Name).Reserved(now) })
 }
 
 // startHedge starts a hedged request for an idempotent request that is late, if the
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -174,6 +174,7 @@
 	lastFailure       *attempt // the last failed attempt; decides the response when no other attempt succeeds
 	hedged            bool
 	hedgeHeld         bool // the hedged request waits for lastHedgeAt, because its upstream is in reserve
+	hedgeTimer        *time.Timer
 }
 
 // serve starts attempts until the caller has a response.
@@ -192,8 +193,8 @@
 		s.respondFailure()
 		return
 	}
-	hedgeTimer := time.NewTimer(s.hedgeDelay())
-	defer hedgeTimer.Stop()
+	s.hedgeTimer = time.NewTimer(s.hedgeDelay())
+	defer s.hedgeTimer.Stop()
 	for {
 		select {
 		case a := <-s.done:
@@ -202,10 +203,10 @@
 			}
 		case a := <-s.silent:
 			s.handleSilence(a)
-		case <-hedgeTimer.C:
+		case <-s.hedgeTimer.C:
 			s.startHedge()
-			if !s.hedged && time.Now().Before(q.objective) {
-				hedgeTimer.Reset(max(time.Until(s.nextHedgeAt()), time.Millisecond))
+			if !s.hedged {
+				s.scheduleHedge()
 			}
 		case <-q.g.exiting:
 			q.g.writeError(w, q.httpReq, q, http.StatusBadGateway, mulberrylink.Unknown, reasonLeaving, 0)
@@ -262,6 +263,10 @@
 		switch res.meta.RejectReason {
 		case reasonSlower, reasonReserved:
 			s.slowerRejections++ // what it reports keeps it from being chosen again, unless no other has room
+			if a.hedge && res.meta.RejectReason == reasonReserved {
+				s.hedged, s.hedgeHeld = false, true
+				s.scheduleHedge()
+			}
 		case reasonSuspect: // may be chosen again, as the node of this suspect
 		default:
 			s.excluded[a.node.Name] = true
@@ -375,6 +380,10 @@
 	if s.slowerRejections < maxSlowerRejections {
 		meta.AlternativeCost, meta.Trial = a.choice.AlternativeCost, a.trial
 		meta.SoundAlternative, meta.SoundExtraCost = a.choice.SoundAlternative, a.choice.SoundExtraCost
+		if a.hedge && now.Before(s.lastHedgeAt()) && !s.onlyReservedRun(now) {
+			// This node may not know that the upstream is in reserve.
+			meta.SoundAlternative, meta.SoundExtraCost = true, 0
+		}
 	}
 	return meta
 }
--- a/gateway/integrity_test.go
+++ b/gateway/integrity_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,22 +99,31 @@
 		}
 	}
 	before, since := faulty.upstream.totalRuns(), time.Now()
-	checkRuns := func() {
-		t.Helper()
-		trials := 1 + int(time.Since(since)/integrity.Estimate{Required: known.Required}.TrialInterval())
-		t.Logf("%d runs, %d trials allowed", faulty.upstream.totalRuns()-before, trials)
-		is.True(faulty.upstream.totalRuns()-before <= trials)
-	}
 	send("reserve", entry, faulty, sound)
-	checkRuns()
+	trials := 1 + int(time.Since(since)/integrity.Estimate{Required: known.Required}.TrialInterval())
+	t.Logf("%d runs, %d trials allowed", faulty.upstream.totalRuns()-before, trials)
+	is.True(faulty.upstream.totalRuns()-before <= trials)
+
+	before = faulty.upstream.totalRuns()
+	waitFor(t, 2*time.Second, "trial", func() bool { // none is due during the next requests
+		faulty.send("GET", "/read/1", "trial", "")
+		return faulty.upstream.totalRuns() > before
+	})
 	sound.upstream.setHandler(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(60 * time.Millisecond) // late enough to be hedged, and in time
 		_, _ = w.Write([]byte("late"))
 	})
-	for i := range 5 {
-		is.Equal(faulty.send("GET", "/read/1", fmt.Sprintf("late-%d", i), "").status, http.StatusOK)
+	var hedged atomic.Int32
+	faulty.upstream.setHandler(func(_ http.ResponseWriter, r *http.Request) {
+		if sound.upstream.runsOf(r.Header.Get("Test-Id")) > 0 {
+			hedged.Add(1)
+		}
+	})
+	for _, n := range []*node{sound, faulty, entry} { // sound does not know of the reserve yet
+		is.Equal(n.send("GET", "/read/1", "late-"+n.name, "").status, http.StatusOK)
 	}
-	checkRuns()
+	is.Equal(hedged.Load(), int32(0))
+	faulty.upstream.setHandler(nil)
 
 	sound.upstream.setHandler(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	for i := range 12 {
