capacity: TestReserve takes its bounds from targets and from runs without the reserve

Where the others have no room, and after the upstream was mended, the share has to be that of a run without the reserve, within 0.05, and no more requests may be refused than there.

A fault of the simulation is mended: the entry node beside a far upstream had the failure domain of the others, and sent requests away from it.

--- a/coordination/capacity/reserve_test.go
+++ b/coordination/capacity/reserve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -11,27 +12,30 @@
 	"time"
 
 	"github.com/mulberrylink/mulberrylink/coordination/capacity"
+	"github.com/mulberrylink/mulberrylink/coordination/integrity"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
 )
 
 const (
-	reserveSeeds = 5
-	faultyFor    = 60 * time.Second
+	faultyFor = 60 * time.Second
 	// lastPart is the time at the end in which mended upstreams must have their share again.
 	lastPart = 20 * time.Second
+	// maxShareDifference is the difference of two shares of requests up to which they count as the same.
+	maxShareDifference = 0.05
 )
 
 // faultyService simulates a service with faulty upstreams. Each upstream has a node with a Controller, each
 // entry node a Balancer.
 type faultyService struct {
-	faulty, oneIn int
-	work          time.Duration
-	sizeKiB       float64
-	controllers   []*capacity.Controller
-	balancers     []*placement.Balancer
-	candidates    []placement.Candidate
-	mendedAt      time.Time
-	end           time.Time
+	withoutReserve bool
+	faulty, oneIn  int
+	work           time.Duration
+	sizeKiB        float64
+	controllers    []*capacity.Controller
+	balancers      []*placement.Balancer
+	candidates     []placement.Candidate
+	mendedAt       time.Time
+	end            time.Time
 
 	mu    sync.Mutex
 	rnd   *rand.Rand
@@ -63,8 +67,12 @@
 		f.controllers = append(f.controllers, capacity.New(time.Now))
 		f.controllers[i].Open(capacity.Upstream{Slots: slots, ID: c.Name, Incarnation: 1})
 	}
-	for range int(s.number(o["entries"], 1)) {
-		f.balancers = append(f.balancers, placement.New(placement.Config{TransferCostPerKiB: 0.035, CrossDomainRTT: time.Millisecond, Domain: "d1"}))
+	for i := range int(s.number(o["entries"], 1)) {
+		domain := "d1"
+		if i < len(f.candidates) {
+			domain = f.candidates[i].Domain // of the upstream beside the entry node
+		}
+		f.balancers = append(f.balancers, placement.New(placement.Config{TransferCostPerKiB: 0.035, CrossDomainRTT: time.Millisecond, Domain: domain}))
 	}
 	return f
 }
@@ -97,7 +105,7 @@
 			own := &candidates[entry]
 			own.Local = true
 			b.RecordLoad(own.Name, f.controllers[entry].Load(), now)
-			b.RecordIntegrity(own.Name, f.controllers[entry].Integrity(), now)
+			b.RecordIntegrity(own.Name, f.integrity(entry), now)
 		}
 		trial := repeatable && try == 0
 		c, ok := b.Choose(now, &placement.Request{
@@ -110,7 +118,10 @@
 		i := int(c.Name[0] - 'a')
 		req := &capacity.Request{ServiceTime: f.work, Repeatable: repeatable, Objective: start.Add(4 * f.work), Deadline: start.Add(12 * f.work)}
 		if passedBack < 3 {
-			req.AlternativeCost, req.SoundAlternative, req.SoundExtraCost, req.Trial = c.AlternativeCost, c.SoundAlternative, c.SoundExtraCost, trial
+			req.AlternativeCost = c.AlternativeCost
+		}
+		if passedBack < 3 && !f.withoutReserve {
+			req.SoundAlternative, req.SoundExtraCost, req.Trial = c.SoundAlternative, c.SoundExtraCost, trial
 		}
 		b.RequestSent(c.Name)
 		time.Sleep(time.Millisecond / 4)
@@ -126,7 +137,7 @@
 		b.RequestEnded(c.Name)
 		now = time.Now()
 		b.RecordLoad(c.Name, f.controllers[i].Load(), now)
-		b.RecordIntegrity(c.Name, f.controllers[i].Integrity(), now)
+		b.RecordIntegrity(c.Name, f.integrity(i), now)
 		switch {
 		case permit != nil:
 			ran = true
@@ -150,6 +161,15 @@
 	}
 }
 
+// integrity returns the estimate that the node beside an upstream states.
+func (f *faultyService) integrity(i int) integrity.Estimate {
+	e := f.controllers[i].Integrity()
+	if f.withoutReserve {
+		e.Missing = 0
+	}
+	return e
+}
+
 func (f *faultyService) record(atFaulty, malformed, repeatable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -192,11 +212,51 @@
 
 func runReserveScenario(t *testing.T, o map[string]string) {
 	t.Parallel()
+	s := script{t: t}
+	n := meanTally(t, o, false)
+	t.Logf("malformed %.1f, lost %.1f, share %.3f, mended %.2f, refused %.4f", n.malformed, n.lost, n.share, n.mended, n.refused)
+	if n.malformed > s.number(o["malformed"], math.Inf(1)) {
+		t.Errorf("%.1f malformed responses, want at most %s", n.malformed, o["malformed"])
+	}
+	if n.lost > s.number(o["lost"], math.Inf(1)) {
+		t.Errorf("%.1f requests lost, want at most %s", n.lost, o["lost"])
+	}
+	if n.share > s.number(o["share"], 1) {
+		t.Errorf("the faulty upstreams got a share of %.3f, want at most %s", n.share, o["share"])
+	}
+	if o["same"] == "" && o["delay"] == "" {
+		if n.refused > 0 {
+			t.Errorf("a share of %.4f of the requests was refused", n.refused)
+		}
+		return
+	}
+	without := meanTally(t, o, true)
+	t.Logf("without the reserve: share %.3f, mended %.2f, refused %.4f", without.share, without.mended, without.refused)
+	if o["same"] != "" && math.Abs(n.share-without.share) > maxShareDifference {
+		t.Errorf("the faulty upstreams got a share of %.3f, without the reserve %.3f", n.share, without.share)
+	}
+	if o["delay"] != "" && n.mended < without.mended-maxShareDifference {
+		t.Errorf("the mended upstreams got a share of %.2f, without the reserve %.2f", n.mended, without.mended)
+	}
+	if n.refused > without.refused+0.001 {
+		t.Errorf("a share of %.4f of the requests was refused, without the reserve %.4f", n.refused, without.refused)
+	}
+}
+
+// reserveMeans are the means of a scenario over its seeds.
+type reserveMeans struct {
+	malformed, lost        float64
+	share, mended, refused float64 // of the requests
+}
+
+func meanTally(t *testing.T, o map[string]string, withoutReserve bool) reserveMeans {
 	s := script{t: t}
 	var sum reserveTally
-	for seed := range uint64(reserveSeeds) {
+	seeds := s.number(o["seeds"], 5)
+	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFaultyService(t, o, seed+1)
+			f.withoutReserve = withoutReserve
 			n := f.run(s.number(o["rate"], 1))
 			sum.requests, sum.refused = sum.requests+n.requests, sum.refused+n.refused
 			sum.malformed, sum.lost = sum.malformed+n.malformed, sum.lost+n.lost
@@ -204,21 +264,9 @@
 			sum.last, sum.lastAtFaulty = sum.last+n.last, sum.lastAtFaulty+n.lastAtFaulty
 		})
 	}
-	malformed, lost := float64(sum.malformed)/reserveSeeds, float64(sum.lost)/reserveSeeds
-	share, mended := float64(sum.beforeAtFaulty)/float64(sum.before), float64(sum.lastAtFaulty)/float64(sum.last)
-	refused := float64(sum.refused) / float64(sum.requests)
-	t.Logf("malformed %.1f, lost %.1f, share %.3f, mended %.2f, refused %.4f", malformed, lost, share, mended, refused)
-	lowest, highest, _ := strings.Cut(o["share"], ",")
-	switch {
-	case o["malformed"] != "" && malformed > s.number(o["malformed"], 0):
-		t.Errorf("%.1f malformed responses, want at most %s", malformed, o["malformed"])
-	case o["lost"] != "" && lost > s.number(o["lost"], 0):
-		t.Errorf("%.1f requests lost, want at most %s", lost, o["lost"])
-	case share < s.number(lowest, 0) || share > s.number(highest, 1):
-		t.Errorf("the faulty upstreams got a share of %.3f, want %s", share, o["share"])
-	case mended < s.number(o["mended"], 0):
-		t.Errorf("the mended upstreams got a share of %.2f, want at least %s", mended, o["mended"])
-	case refused > s.number(o["refused"], 0):
-		t.Errorf("a share of %.4f of the requests was refused, want at most %s", refused, o["refused"])
+	share := func(part, all int) float64 { return float64(part) / float64(all) }
+	return reserveMeans{
+		malformed: float64(sum.malformed) / seeds, lost: float64(sum.lost) / seeds,
+		share: share(sum.beforeAtFaulty, sum.before), mended: share(sum.lastAtFaulty, sum.last), refused: share(sum.refused, sum.requests),
 	}
 }
