--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -15,16 +15,15 @@
 // sooner is rejected with Slower, so that its entry node can choose that upstream; the
 // entry node states the expected cost there in Request.AlternativeCost.
 //
-// A cold upstream gets requests from a token bucket. The load that this answers is the return
-// of a whole deployment after a loss of power, when more is asked than all cold upstreams
-// together may take: a request that can still meet its objective waits for its turn by priority
+// A cold upstream gets requests from a token bucket. After a loss of power a whole deployment
+// returns, and more is asked than all cold upstreams together may take: a request that can still meet its objective waits for its turn by priority
 // and deadline, so that callers that were refused before go first. The others are rejected at
 // once with Warming and the time that the queue takes.
 //
 // An upstream in trouble may state how many requests per second it accepts. SetRateLimit applies
 // that limit with a second token bucket, and a request that it would make late is rejected with
-// Limited. The load that this answers is a service whose upstreams have mostly asked for fewer
-// requests: Load.RateWait tells entry nodes which upstreams have room for another one.
+// Limited. When most upstreams of a service have asked for fewer requests, Load.RateWait tells entry
+// nodes which of them have room for another one.
 //
 // The controller also holds the record of the upstream's malformed responses
 // (coordination/integrity), whose rate is a part of that comparison. While the upstream is in reserve,
--- a/coordination/integrity/integrity.go
+++ b/coordination/integrity/integrity.go
@@ -12,9 +12,8 @@
 // responses as its rate asks for. A rate of one in n would show itself in 3n responses with a probability
 // of 95%. When the others have no room, the upstream is in use and its responses count. When they have,
 // its node admits trials: single requests that may run again, which another upstream answers if the
-// response is malformed. The interval between trials makes a faulty upstream send one malformed response
-// to a trial in trustDelay/3 on average, whatever its rate is and however many nodes send requests. With
-// each relapse the interval doubles.
+// response is malformed. Trials are so far apart that a faulty upstream spoils one of them in trustDelay/3
+// on average, whatever its rate is and however many nodes send requests. Each relapse doubles the interval.
 //
 // The node beside the upstream, through which every request passes, keeps the Record and grants the
 // trials. Nodes tell each other the Estimate with requests and responses (protocol/hop), so that it
@@ -52,13 +51,13 @@
 	// responses in which one was malformed. With the same rate they would all be well-formed with a
 	// probability of exp(-3), 5%.
 	evidenceFactor = 3
-	// maxEvidence is the evidence that the lowest rate asks for which counts at all.
+	// maxEvidence is the number of well-formed responses that trust asks for at minRate.
 	maxEvidence = evidenceFactor / minRate
-	// trustDelay is the time until a mended upstream is trusted again if it gets nothing but trials. A
-	// repair usually restarts the upstream, and a new instance is trusted at once, so that few requests
-	// that are answered late outweigh a short delay.
+	// trustDelay is the time until a mended upstream is trusted again if it gets nothing but trials. It
+	// may be long: an upstream that is needed is in use anyway, and a repair that restarts it makes a
+	// new instance, which is trusted at once.
 	trustDelay = 90 * time.Second
-	// maxRelapses bounds the doubling of the interval between trials.
+	// maxRelapses limits how often the interval between trials doubles.
 	maxRelapses = 2
 )
 
--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -248,7 +248,8 @@
 	}
 	networkTime, extraCost := time.Duration(0), 0.0
 	if !c.Local {
-		networkTime = b.cfg.CrossDomainRTT / 4 // mostly processing time within the domain
+		// Within the domain a hop is short; the two nodes still take processing time.
+		networkTime = b.cfg.CrossDomainRTT / 4
 		extraCost = hopCost
 	}
 	if c.Domain != b.cfg.Domain {
--- a/coordination/placement/doc.go
+++ b/coordination/placement/doc.go
@@ -11,13 +11,12 @@
 // a request or was unreachable, and small terms that break ties. For a request that may run only
 // once it also has the rate of malformed responses (coordination/integrity). The lowest cost wins.
 //
-// An upstream in reserve (coordination/integrity) costs more while the sound ones, those that are not in
-// reserve, have room for the load of all. The load that this answers is a service of which a few
-// upstreams send malformed responses while the others are far from full: requests of every kind then
-// pass over the faulty ones. When the sound ones have no room, their load does not grow further, and
-// the upstreams in reserve are chosen as any other. A request that may be sent again is a trial from
-// time to time; the node beside the upstream decides whether it is due, and the entry node gets the
-// current estimate with its response.
+// An upstream in reserve (coordination/integrity) has sent malformed responses. It costs more while the
+// others, the sound ones, have room for the load of all. A service with a few faulty upstreams and much
+// spare capacity then sends requests of every kind to the sound ones. Without room there, the upstreams
+// in reserve are chosen as any other. From time to time a request that may be sent again is a trial, as
+// in the half-open state of a circuit breaker: the node beside the upstream decides whether a trial is
+// due, and states the current estimate with its response.
 //
 // A wrong choice does little harm: the node beside the upstream knows the state of its
 // upstream exactly, and rejects a request that another upstream would finish sooner before
