accounts: client accounts in the configuration

Cause: configurations with client accounts were served without them: a key reached the upstream, an unknown one ran, and a change of accounts was refused as "not a list of named items". Change: coordination/accounts holds the accounts by digests of their keys; routes may be public; the entry node checks the key, removes it and the name that a caller may state, and other nodes get the name of the account only. The priority of an account goes before that of its route.

--- a/coordination/document/document_test.go
+++ b/coordination/document/document_test.go
@@ -93,8 +93,9 @@
 func TestDiffLeadsToTheNewState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		states := rapid.Custom(func(t *rapid.T) *document.State {
+			lists := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"routes", "services", "accounts"}), rapid.ID[string]).Draw(t, "lists")
 			s := &document.State{Version: rapid.Uint64Range(1, 9).Draw(t, "version"), Extra: rapid.SliceOfN(rapid.Byte(), 1, 3).Draw(t, "extra")}
-			for _, list := range []string{"routes", "services"} {
+			for _, list := range lists {
 				names := rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), rapid.ID[string]).Draw(t, list)
 				l := document.List{Name: list}
 				for _, n := range names {
@@ -117,7 +118,10 @@
 		if got.Version != to.Version || string(got.Extra) != string(to.Extra) {
 			t.Fatalf("version %d extra %q, want %d %q", got.Version, got.Extra, to.Version, to.Extra)
 		}
-		for _, list := range []string{"routes", "services"} {
+		if a, b := listNames(got), listNames(to); a != b {
+			t.Fatalf("lists %s, want %s", a, b)
+		}
+		for _, list := range []string{"routes", "services", "accounts"} {
 			if a, b := sorted(got.List(list)), sorted(to.List(list)); a != b {
 				t.Fatalf("%s: %s, want %s", list, a, b)
 			}
@@ -125,6 +129,15 @@
 	})
 }
 
+func listNames(s *document.State) string {
+	var names []string
+	for _, l := range s.Lists {
+		names = append(names, l.Name)
+	}
+	slices.Sort(names)
+	return fmt.Sprint(names)
+}
+
 func sorted(items []document.Item) string {
 	items = slices.Clone(items)
 	slices.SortFunc(items, func(a, b document.Item) int {
--- a/coordination/document/state.go
+++ b/coordination/document/state.go
@@ -43,6 +43,9 @@
 	Lists []List `cbor:"l,omitempty"`
 	// Remove are the items to remove. Only their names are used.
 	Remove []List `cbor:"x,omitempty"`
+	// DropLists are the names of lists that the new document does not have. A list without items is
+	// another document: it may have a meaning of its own.
+	DropLists []string `cbor:"z,omitempty"`
 	// Extra replaces State.Extra if Replace is true or Extra is not empty.
 	Extra []byte `cbor:"r,omitempty"`
 }
@@ -93,6 +96,9 @@
 		}
 	}
 	for _, name := range names {
+		if slices.Contains(c.DropLists, name) {
+			continue
+		}
 		items := mergeItems(s.List(name), itemsIn(c.Lists, name), itemsIn(c.Remove, name))
 		next.Lists = append(next.Lists, List{Name: name, Items: items})
 	}
@@ -153,19 +159,23 @@
 			}
 			delete(missing, it.Name)
 		}
-		if len(upserts) > 0 {
+		if len(upserts) > 0 || !hasList(from, l.Name) {
 			c.Lists = append(c.Lists, List{Name: l.Name, Items: upserts})
 		}
 		c.Remove = appendRemoved(c.Remove, l.Name, from.List(l.Name), missing)
 	}
 	for _, l := range from.Lists {
-		if !slices.ContainsFunc(to.Lists, func(x List) bool { return x.Name == l.Name }) {
-			c.Remove = append(c.Remove, List{Name: l.Name, Items: l.Items})
+		if !hasList(to, l.Name) {
+			c.DropLists = append(c.DropLists, l.Name)
 		}
 	}
 	return c
 }
 
+func hasList(s *State, name string) bool {
+	return slices.ContainsFunc(s.Lists, func(l List) bool { return l.Name == name })
+}
+
 func appendRemoved(remove []List, name string, old []Item, missing map[string][]byte) []List {
 	var items []Item
 	for _, it := range old {
--- a/coordination/routes/doc.go
+++ b/coordination/routes/doc.go
@@ -50,6 +50,8 @@
 	// MaxAttempts is the maximum number of attempts that may reach an upstream for one request.
 	MaxAttempts int
 	Split       []WeightedService
+	// Public is true if requests need no key although the configuration has client accounts.
+	Public bool
 }
 
 // Service is the configuration of the upstreams of a service.
--- a/coordination/routes/table.go
+++ b/coordination/routes/table.go
@@ -4,6 +4,8 @@
 	"net"
 	"sort"
 	"strings"
+
+	"github.com/mulberrylink/mulberrylink/coordination/accounts"
 )
 
 // Table is one version of the routing table. It is immutable.
@@ -11,6 +13,8 @@
 	Version  uint64
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are the client accounts, nil if the configuration has none: callers then need no key.
+	Accounts *accounts.Table
 
 	byHost map[string][]*Route // longest prefix first
 	names  map[string]bool     // of the routes
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -183,7 +183,7 @@
 	codec := g.cfg.Headers
 	header := req.header.Clone()
 	header.Del(hop.Header)
-	codec.SetUpstreamHeaders(header, RequestInfo{Remaining: remaining, UpstreamID: hb.ID, CallerService: req.meta.CallerService})
+	codec.SetUpstreamHeaders(header, RequestInfo{Remaining: remaining, UpstreamID: hb.ID, CallerService: req.meta.CallerService, Account: req.meta.Account})
 	id := codec.RequestID(header)
 	call := &exchange.Request{
 		Addr: hb.Addr, Method: req.method, Target: req.target, Host: req.host, Header: header,
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -42,6 +42,16 @@
 	h.Set("Test-Wait", strconv.Itoa(int(info.Remaining.Milliseconds())))
 	h.Set("Test-For", info.UpstreamID)
 	h.Set("Test-Caller", info.CallerService)
+	if info.Account != "" {
+		h.Set("Test-Account", info.Account)
+	}
+}
+
+func (testHeaders) Credential(h http.Header) string { return h.Get("Test-Key") }
+
+func (testHeaders) RemoveCredential(h http.Header) {
+	h.Del("Test-Key")
+	h.Del("Test-Account")
 }
 
 func (testHeaders) MatchesRequest(id string, h http.Header) bool { return h.Get("Test-Id") == id }
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -78,6 +78,8 @@
 	UpstreamID string
 	// CallerService is the service of the upstream beside the entry node.
 	CallerService string
+	// Account is the name of the client account, empty without one.
+	Account string
 }
 
 // ResponseInfo is the information in the header of an upstream's response.
@@ -120,6 +122,11 @@
 	// Timeout returns how long the caller waits for the response. The second result
 	// is false when the header doesn't state it.
 	Timeout(h http.Header) (time.Duration, bool)
+	// Credential returns the key that the caller shows, empty without one.
+	Credential(h http.Header) string
+	// RemoveCredential removes the key, and what a caller may have sent in its place: the header
+	// that tells an upstream the account.
+	RemoveCredential(h http.Header)
 	// SetUpstreamHeaders sets the headers that an upstream expects in a request.
 	SetUpstreamHeaders(h http.Header, info RequestInfo)
 	// ParseResponse reads the header of a response.
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/accounts"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/protocol/hop"
@@ -70,7 +71,12 @@
 		g.writeError(w, r, nil, http.StatusRequestEntityTooLarge, mulberrylink.NotRun, mulberrylink.ReasonTooLarge.String(), 0)
 		return
 	}
-	req := g.newRequest(active, route, r, now)
+	account, known := g.authenticate(active.table, route, r)
+	if !known {
+		g.writeError(w, r, nil, http.StatusUnauthorized, mulberrylink.NotRun, mulberrylink.ReasonUnknownKey.String(), 0)
+		return
+	}
+	req := g.newRequest(active, route, account, r, now)
 	defer req.end()
 	if now := time.Now(); !req.finishesBeforeExit(now) {
 		g.writeError(w, r, req, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonLeaving, g.retryAfterShutdown(now))
@@ -101,6 +107,16 @@
 	req.serve(w)
 }
 
+// authenticate returns the client account whose key the caller shows, nil without one. The second
+// result is false if the route needs a known key and the caller shows none.
+func (g *Gateway) authenticate(table *routes.Table, route *routes.Route, r *http.Request) (*accounts.Account, bool) {
+	if table.Accounts == nil {
+		return nil, true
+	}
+	account, known := table.Accounts.Lookup(g.cfg.Headers.Credential(r.Header))
+	return account, known || route.Public
+}
+
 // awaitConfig returns the active configuration. A node that has just started gets it within
 // maxConfigDelay if a control host has a leader. It holds requests until then, for at most half
 // of their time: a caller that is told to come back does so only once or twice.
@@ -374,7 +390,7 @@
 	meta := hop.RequestMeta{
 		ExchangeID: exchangeID{process: process{node: req.g.cfg.Name, epoch: req.g.epoch}, seq: req.g.exchangeSeq.Add(1)}.String(),
 		Service:    req.service, Route: req.route.Name, Kind: req.route.Kind, CallerService: req.g.upstream.current().Service,
-		Priority: req.route.Priority, Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
+		Priority: req.priority(), Account: req.accountName(), Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
 		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint), Integrity: encodeIntegrity(req.g.balancer.Integrity(a.node.Name), now),
 	}
 	if s.slowerRejections < maxSlowerRejections {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -10,11 +10,15 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mulberrylink/mulberrylink"
+	"github.com/mulberrylink/mulberrylink/coordination/accounts"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/state/memory"
 	"github.com/mulberrylink/mulberrylink/transport/ingress"
 )
 
+// routePriorities is the number of different priorities of routes within one account priority.
+const routePriorities = 1000
+
 // request is a caller's request on its entry node.
 type request struct {
 	g                  *Gateway
@@ -24,6 +28,7 @@
 	active             *activeConfig
 	route              *routes.Route
 	service            string
+	account            *accounts.Account // nil if the caller showed no key, or the configuration has no accounts
 	httpReq            *http.Request
 	header             http.Header
 	length             int64
@@ -39,7 +44,7 @@
 	fingerprint        uint64                // set once the body has been read
 }
 
-func (g *Gateway) newRequest(active *activeConfig, route *routes.Route, r *http.Request, now time.Time) *request {
+func (g *Gateway) newRequest(active *activeConfig, route *routes.Route, account *accounts.Account, r *http.Request, now time.Time) *request {
 	timeout, ok := g.cfg.Headers.Timeout(r.Header)
 	if !ok {
 		timeout = defaultTimeout
@@ -52,15 +57,37 @@
 		objective = min(timeout, max(route.Objective-g.cfg.Tuning.CallerRTT, route.Objective/2))
 	}
 	q := &request{
-		g: g, id: g.cfg.Headers.RequestID(r.Header), start: now, active: active, route: route, service: g.splitter.Pick(route),
+		g: g, id: g.cfg.Headers.RequestID(r.Header), start: now, active: active, route: route, account: account, service: g.splitter.Pick(route),
 		httpReq: r, mem: g.memory.NewAccount(g.routeShares.get(route.Name)), header: ingress.EndToEndHeaders(r.Header), length: r.ContentLength,
 		objective: now.Add(objective), deadline: now.Add(timeout), bodyReadAt: now,
 	}
+	if active.table.Accounts != nil {
+		g.cfg.Headers.RemoveCredential(q.header)
+	}
 	q.serviceTime, q.serviceTimeAssumed = g.estimateServiceTime(route)
 	q.budgetRequest = &mulberrylink.Request{Service: q.service, Idempotent: route.Kind == routes.Safe, Deadline: q.deadline}
 	return q
 }
 
+// priority returns the priority of the request at an upstream: that of the account goes before that
+// of the route. Internal calls have no account, and their parents hold slots meanwhile, so they count
+// as calls of an account of the highest priority.
+func (q *request) priority() int {
+	p := min(q.route.Priority, routePriorities-1)
+	if q.account != nil {
+		p += routePriorities * q.account.Priority
+	}
+	return p
+}
+
+// accountName returns the name of the client account, empty without one.
+func (q *request) accountName() string {
+	if q.account == nil {
+		return ""
+	}
+	return q.account.Name
+}
+
 // end returns what the request has taken from the limits of the node.
 func (q *request) end() {
 	q.mem.Close()
--- a/outcome.go
+++ b/outcome.go
@@ -51,6 +51,10 @@
 	ReasonNoService                // noservice
 	ReasonNoRoute                  // noroute
 	ReasonMemory                   // memory
+	ReasonUnknownKey               // unknownkey
+	ReasonLeaseEnded               // leaseended
+	ReasonOverQuota                // overquota
+	ReasonNoQuota                  // noquota
 	reasonCount                    // count
 )
 
--- a/outcome_string.go
+++ b/outcome_string.go
@@ -60,12 +60,16 @@
 	_ = x[ReasonNoService-28]
 	_ = x[ReasonNoRoute-29]
 	_ = x[ReasonMemory-30]
-	_ = x[reasonCount-31]
+	_ = x[ReasonUnknownKey-31]
+	_ = x[ReasonLeaseEnded-32]
+	_ = x[ReasonOverQuota-33]
+	_ = x[ReasonNoQuota-34]
+	_ = x[reasonCount-35]
 }
 
-const _Reason_name = "nonebusycolddrainingleavingdomainoutisolatednoconfignoupstreamconnectsheddeadlinebudgetfencedcrashernoquorumconflictpendingclaimedlostsilentcrashedcanceledtruncateddepthbadrequestbadkeytoolargenoservicenoroutememorycount"
+const _Reason_name = "nonebusycolddrainingleavingdomainoutisolatednoconfignoupstreamconnectsheddeadlinebudgetfencedcrashernoquorumconflictpendingclaimedlostsilentcrashedcanceledtruncateddepthbadrequestbadkeytoolargenoservicenoroutememoryunknownkeyleaseendedoverquotanoquotacount"
 
-var _Reason_index = [...]uint8{0, 4, 8, 12, 20, 27, 36, 44, 52, 62, 69, 73, 81, 87, 93, 100, 108, 116, 123, 130, 134, 140, 147, 155, 164, 169, 179, 185, 193, 202, 209, 215, 220}
+var _Reason_index = [...]uint16{0, 4, 8, 12, 20, 27, 36, 44, 52, 62, 69, 73, 81, 87, 93, 100, 108, 116, 123, 130, 134, 140, 147, 155, 164, 169, 179, 185, 193, 202, 209, 215, 225, 235, 244, 251, 256}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -11,6 +11,7 @@
 package hop
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -60,6 +61,8 @@
 	Suspicion Suspicion
 	// Integrity is what the entry node knows of the upstream.
 	Integrity Integrity
+	// Account is the name of the client account, empty without one. It is sent in the encoding of a URL query.
+	Account string
 }
 
 // Integrity is the estimate of package integrity for an upstream. The zero value is that of
@@ -95,8 +98,12 @@
 	return strconv.FormatUint(uint64(s.Stage), 10) + "," + formatMillis(s.Remaining)
 }
 
-// requestFields is the number of fields of a request. The integrity follows them if there is one.
-const requestFields = 10
+// requestFields is the number of fields of a request. The integrity and the account follow them, up to
+// the last one that there is.
+const (
+	requestFields    = 10
+	maxRequestFields = requestFields + 2
+)
 
 // assumedMark follows a service time that is assumed instead of observed.
 const assumedMark = "?"
@@ -112,8 +119,14 @@
 		formatMillis(m.Objective) + "," + formatMillis(m.Timeout), serviceTime,
 		m.encodeAlternative(), encodeFingerprint(m.Fingerprint, m.Suspicion),
 	}
-	if m.Integrity != (Integrity{}) {
+	switch {
+	case m.Integrity != (Integrity{}):
 		fields = append(fields, m.Integrity.encode())
+	case m.Account != "":
+		fields = append(fields, "")
+	}
+	if m.Account != "" {
+		fields = append(fields, url.QueryEscape(m.Account))
 	}
 	return strings.Join(fields, ";")
 }
@@ -153,8 +166,8 @@
 // ParseRequestMeta parses the header value of a request.
 func ParseRequestMeta(text string) (RequestMeta, error) {
 	fields := strings.Split(text, ";")
-	if len(fields) != requestFields && len(fields) != requestFields+1 {
-		return RequestMeta{}, errors.Newf("hop header of a request has %d fields, want %d or %d", len(fields), requestFields, requestFields+1)
+	if len(fields) < requestFields || len(fields) > maxRequestFields {
+		return RequestMeta{}, errors.Newf("hop header of a request has %d fields, want %d to %d", len(fields), requestFields, maxRequestFields)
 	}
 	p := fieldParser{}
 	objective, timeout, _ := strings.Cut(fields[6], ",")
@@ -171,9 +184,12 @@
 		meta.SoundAlternative, meta.Trial, meta.SoundExtraCost = true, p.int(flags)&1 != 0, p.float(extraCost)
 	}
 	meta.Fingerprint, meta.Suspicion = p.fingerprint(fields[9])
-	if len(fields) > requestFields {
+	if len(fields) > requestFields && fields[requestFields] != "" {
 		meta.Integrity = p.integrity(fields[requestFields])
 	}
+	if len(fields) > requestFields+1 {
+		meta.Account = p.text(fields[requestFields+1])
+	}
 	return meta, errors.Wrap(p.err, "parse hop header of a request")
 }
 
@@ -320,6 +336,13 @@
 	return e
 }
 
+// text parses a text that url.QueryEscape has encoded.
+func (p *fieldParser) text(s string) string {
+	text, err := url.QueryUnescape(s)
+	p.fail(err)
+	return text
+}
+
 func (p *fieldParser) float(s string) float64 {
 	x, err := strconv.ParseFloat(s, 64)
 	p.fail(err)
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -27,6 +27,14 @@
 	gotRequest, err = hop.ParseRequestMeta(request.Encode())
 	is.NoErr(err)
 	is.Equal(gotRequest, request)
+	request.Account = "north; \"west\", 100%"
+	gotRequest, err = hop.ParseRequestMeta(request.Encode())
+	is.NoErr(err)
+	is.Equal(gotRequest, request)
+	request.Integrity = hop.Integrity{}
+	gotRequest, err = hop.ParseRequestMeta(request.Encode())
+	is.NoErr(err)
+	is.Equal(gotRequest, request)
 	request.SoundAlternative, request.Trial, request.SoundExtraCost = true, true, -0.125
 	request.Integrity.Required, request.Integrity.Missing, request.Integrity.Relapses = 126, 80, 2
 	request.Integrity.TrialIn, request.Integrity.ReservedFor = 700*time.Millisecond, 90*time.Second
