exchange, backend: a response that ends with its connection needs a request that was sent

Cause: when the write of a request body met the reset of the upstream first, it took the error of the socket, and the next read returned a plain end of file: a part of a response without a length looked complete. Change: the end of such a body counts only if the request was sent without an error, in transport/exchange and in the older transport/backend. Health probes have no body, and protocol/forward has an end mark. Status 000 is refused by both paths already (exchange testdata/status.txt, backend_test.go).

--- a/transport/backend/do.go
+++ b/transport/backend/do.go
@@ -71,6 +71,9 @@
 	a := &mulberrylink.Answer{
 		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
 	}
+	if a.Length < 0 && len(resp.TransferEncoding) == 0 {
+		a.Body = &undelimitedBody{ReadCloser: a.Body, ctx: ctx, trace: trace}
+	}
 	if a.Length < 0 {
 		a.Body = http.MaxBytesReader(nil, a.Body, maxUndelimitedBytes) // the upstream may send without end
 	}
@@ -174,6 +177,7 @@
 	writtenBefore int64 // bytes written to conn before the request
 	// The times are zero until the event has happened.
 	headersWritten, requestWritten, firstByte time.Time
+	writeErr                                  error // set with requestWritten
 }
 
 func (t *requestTrace) clientTrace() *httptrace.ClientTrace {
@@ -187,7 +191,7 @@
 			}
 		},
 		WroteHeaders:         func() { t.setNow(&t.headersWritten) },
-		WroteRequest:         func(httptrace.WroteRequestInfo) { t.setNow(&t.requestWritten) },
+		WroteRequest:         t.recordWritten,
 		GotFirstResponseByte: func() { t.setNow(&t.firstByte) },
 	}
 }
@@ -198,6 +202,19 @@
 	*at = time.Now()
 }
 
+func (t *requestTrace) recordWritten(info httptrace.WroteRequestInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requestWritten, t.writeErr = time.Now(), info.Err
+}
+
+// written returns the error of writing the request. done is false until that has ended.
+func (t *requestTrace) written() (done bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.requestWritten.IsZero(), t.writeErr
+}
+
 // serviceTime returns the time that the request took at the upstream, until the first
 // byte of the response. It includes the transfer of a streamed body, whose duration
 // depends on the caller and the upstream and not on the node. Without a response it
@@ -245,6 +262,42 @@
 // Close implements io.Closer.
 func (b *requestBody) Close() error { return nil }
 
+const (
+	// maxWriteWait is how long the end of a response waits for the end of its request. net/http closes
+	// the connection meanwhile, which ends a write.
+	maxWriteWait      = time.Second
+	writePollInterval = time.Millisecond
+)
+
+var errNotSent = errors.New("the connection ended before the request was sent to its end")
+
+// undelimitedBody is a response body that ends with its connection. If the upstream resets the
+// connection while the request body is being written, the write consumes the error of the socket, and the
+// next read returns a plain end of file. The end of the body is therefore the end of the response only
+// if the request was sent without an error.
+type undelimitedBody struct {
+	io.ReadCloser
+	ctx   context.Context
+	trace *requestTrace
+}
+
+// Read implements io.Reader.
+func (b *undelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	for end := time.Now().Add(maxWriteWait); time.Now().Before(end) && b.ctx.Err() == nil; time.Sleep(writePollInterval) {
+		if done, writeErr := b.trace.written(); done {
+			if writeErr != nil {
+				err = errors.Wrap(errNotSent, writeErr.Error())
+			}
+			return n, err
+		}
+	}
+	return n, errNotSent
+}
+
 // responseBody is the body of a response. It calls onCut when the connection is cut
 // while the body is read, and onDone when the exchange has ended.
 type responseBody struct {
--- a/transport/exchange/do.go
+++ b/transport/exchange/do.go
@@ -48,6 +48,7 @@
 	errInterim     = errors.New("too many interim responses")
 	errStatus      = errors.New("the status of the response is not one of a final response")
 	errBody        = errors.New("malformed response body")
+	errNotSent     = errors.New("the connection ended before the request was sent to its end")
 )
 
 // IsMalformed reports whether an exchange failed because the upstream sent bytes that are no response,
@@ -104,7 +105,8 @@
 	stopCloseOnCancel func() bool
 	responseBegun     bool
 
-	startBody   func()        // starts sendBody on its first call
+	startBody   func() // starts sendBody on its first call
+	bodyStarted bool
 	bodySent    chan struct{} // closed when sending of the body has ended; bodyErr is then set
 	bodyErr     error
 	releaseOnce sync.Once
@@ -143,7 +145,10 @@
 		_, _ = w.WriteString("Expect: 100-continue\r\n")
 	}
 	_, _ = w.WriteString("\r\n") // Flush returns the first error of a bufio.Writer
-	t.startBody = sync.OnceFunc(func() { go t.sendBody() })
+	t.startBody = sync.OnceFunc(func() {
+		t.bodyStarted = true
+		go t.sendBody()
+	})
 	switch {
 	case !hasBody:
 		t.startBody = func() {} // a 100 Continue response may arrive all the same
@@ -325,6 +330,9 @@
 	t.reusable = !resp.Close
 	t.conn.setReusableUntil(resp.Header.Get("Keep-Alive"), t.pool.cfg.IdleTimeout)
 	buffer.begin(resp.ContentLength)
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		resp.Body = &undelimitedBody{ReadCloser: resp.Body, t: t}
+	}
 	complete, err := buffer.fill(resp.Body)
 	if err != nil {
 		return nil, bodyError(err)
@@ -372,6 +380,32 @@
 	}
 }
 
+// undelimitedBody is a response body that ends with its connection. If the upstream resets the
+// connection while the request body is being written, the write consumes the error of the socket, and the
+// next read returns a plain end of file. The end of the body is therefore the end of the response only
+// if the request was sent without an error.
+type undelimitedBody struct {
+	io.ReadCloser
+	t *roundTrip
+}
+
+// Read implements io.Reader.
+func (b *undelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) || !b.t.bodyStarted {
+		return n, err
+	}
+	select {
+	case <-b.t.bodySent:
+		if b.t.bodyErr != nil {
+			err = fmt.Errorf("%w: %w", errNotSent, b.t.bodyErr)
+		}
+	case <-b.t.ctx.Done():
+		err = b.t.ctx.Err()
+	}
+	return n, err
+}
+
 // restReader streams the part of a response body that Do didn't read.
 type restReader struct {
 	t    *roundTrip
