--- a/cmd/mulberryctl/explain.go
+++ b/cmd/mulberryctl/explain.go
@@ -109,6 +109,10 @@
 	mulberrylink.ReasonNoService:  "The Host header names no service of the configuration.",
 	mulberrylink.ReasonNoRoute:    "The service has no route for this method and path.",
 	mulberrylink.ReasonMemory:     "The buffers of the node hold as much as its memory allows.",
+	mulberrylink.ReasonUnknownKey: "The request showed no key of a client account on a route that needs one.",
+	mulberrylink.ReasonLeaseEnded: "The node has had no confirmation of the client accounts for too long, so it cannot know whether the key was revoked.",
+	mulberrylink.ReasonOverQuota:  "The client account has used its rate limit over all nodes.",
+	mulberrylink.ReasonNoQuota:    "The node could not learn in time whether the client account is within its rate limit: no leader answered.",
 }
 
 // memberReasons explains why a membership change of the control hosts is waiting or was refused.
