feed, controlhost: hubs confirm probes of subscribers with quorum reads

Cause: a node needs to know that its configuration is current as of a reading of its own clock.

Change: subscribers may send a probe with each message. A hub runs one quorum read at a time for all of them, every 300 ms and only while a subscriber sends probes, and confirms the newest probe that it had received before the read, once it has sent the state that the read covers. The new fields are omitted where no probe is sent.

Measured: go test -race ./protocol/feed, and -run 'Probes' ./controlhost pass. A trial without the check of the state in addConfirmation fails TestNoConfirmationWithoutTheState.

--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -129,7 +129,7 @@
 		return nil, err
 	}
 	h.hub = feed.NewHub(feed.HubConfig{
-		Directory: h.nodes, Suspects: h.suspects, State: h.state, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
+		Directory: h.nodes, Suspects: h.suspects, State: h.state, ConfirmedState: h.confirmedState, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	h.rpc = rpc.NewServer(func(err error) { cfg.Log.Debug().Err(err).Msg("connection lost") })
 	h.rpc.SetLimits(rpc.Limits{Conns: maxConns, WriteTimeout: writeTimeout})
--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -52,6 +52,14 @@
 	Suspects *suspect.List
 	// OnState is called with each newer committed state. It may be nil.
 	OnState func(*document.State)
+	// Probe returns the current reading of a clock of the subscriber. The hub is asked to confirm it:
+	// that the subscriber has the state that was committed when the hub received the reading. No
+	// confirmations are asked for if it is nil.
+	Probe func() time.Duration
+	// OnConfirmed is called with the probe that a hub has confirmed and the revision of the state to
+	// which the confirmation applies. The caller has to check that the state is in force. OnConfirmed
+	// may be nil if Probe is.
+	OnConfirmed func(probe time.Duration, revision uint64)
 	// Domain is the failure domain of the subscriber. Control hosts in this domain are preferred.
 	Domain string
 	// NodeName is the name of the subscribing node. The client ignores records of this node that a
@@ -255,7 +263,7 @@
 		c.self = &next
 	}
 	sentRecord := c.self
-	first := &subscriberMessage{Node: sentRecord, HostName: c.cfg.HostName, Version: c.state.Version, Revision: c.state.Revision}
+	first := &subscriberMessage{Node: sentRecord, HostName: c.cfg.HostName, Version: c.state.Version, Revision: c.state.Revision, Probe: c.newestProbe()}
 	c.mu.Unlock()
 	if err := stream.MsgSend(first, codec.Encoding{}); err != nil {
 		return err
@@ -302,7 +310,7 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		var m subscriberMessage
+		m := subscriberMessage{Probe: c.newestProbe()}
 		if n := c.selfRecord(); n != sentRecord {
 			m.Node, sentRecord = n, n
 		}
@@ -353,6 +361,9 @@
 	if next != nil && c.cfg.OnState != nil {
 		c.cfg.OnState(next)
 	}
+	if err == nil {
+		c.handleConfirmation(m)
+	}
 	return err
 }
 
--- a/protocol/feed/doc.go
+++ b/protocol/feed/doc.go
@@ -14,6 +14,11 @@
 // control host has no leader says so in its messages, and the nodes that subscribe to it move to
 // another control host.
 //
+// A subscriber may ask its hub to confirm that its state is current, for a lease (coordination/lease).
+// Its messages then carry a reading of its clock. The hub confirms the newest one that it had received
+// before it began a quorum read, once the read has succeeded and the subscriber has been sent the state
+// that the read covers.
+//
 // # Usage
 //
 // On a control host:
@@ -90,6 +95,8 @@
 	Revision uint64 `cbor:"s,omitempty"`
 	// Suspects are the records of crash suspects that changed and that the hub has not sent.
 	Suspects []suspectNotice `cbor:"c,omitempty"`
+	// Probe is a reading of the subscriber's clock that it asks the hub to confirm.
+	Probe int64 `cbor:"lp,omitempty"`
 }
 
 // hubMessage is a message from a hub to a subscriber.
@@ -113,6 +120,11 @@
 	StoredIncarnation uint64 `cbor:"r,omitempty"`
 	// Suspects are the records of crash suspects that changed.
 	Suspects []suspectNotice `cbor:"c,omitempty"`
+	// ConfirmedProbe is the newest probe that the hub had received before it began a quorum read that
+	// has succeeded. ConfirmedRevision is the revision that this read covers. The subscriber has
+	// received a state of this revision, or a newer one, before this message or with it.
+	ConfirmedProbe    int64  `cbor:"lp,omitempty"`
+	ConfirmedRevision uint64 `cbor:"lr,omitempty"`
 }
 
 // suspectNotice is the wire format of a suspect.Notice. It carries the remaining time instead of a
--- a/protocol/feed/hub.go
+++ b/protocol/feed/hub.go
@@ -36,6 +36,10 @@
 	Suspects *suspect.List
 	// State returns the committed state and a channel that is closed when the state changes.
 	State func() (*document.State, <-chan struct{})
+	// ConfirmedState performs a quorum read and returns the state that it covers: one that contains
+	// every change that was acknowledged before the call. It returns false if the read has failed.
+	// Without it, the hub confirms no probes.
+	ConfirmedState func(context.Context) (*document.State, bool)
 	// HasLeader reports whether this control host knows a leader or is the leader.
 	HasLeader func() bool
 	// Hosts returns the control hosts that subscribers may move to.
@@ -51,6 +55,7 @@
 type Hub struct {
 	cfg         HubConfig
 	lastSession atomic.Uint64
+	confirmer   confirmer
 
 	mu      sync.Mutex
 	history []*document.State       // in ascending order of version
@@ -64,7 +69,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Hub{cfg: cfg, updates: make(map[versionRange][]byte), compress: compressUpdate}
+	return &Hub{cfg: cfg, confirmer: confirmer{read: cfg.ConfirmedState}, updates: make(map[versionRange][]byte), compress: compressUpdate}
 }
 
 // Method returns the name and the handler of the RPC method.
@@ -88,7 +93,10 @@
 	version           uint64      // of the subscriber's document
 	stateRevision     uint64      // of the subscriber's state
 	suspects          suspectCursor
-	hosts             []Host // sent last
+	hosts             []Host                       // sent last
+	hubState          *document.State              // state of the hub at the last addDocument
+	confirmation      atomic.Pointer[confirmation] // not sent yet
+	confirmed         chan struct{}                // signals a new confirmation
 }
 
 func (h *Hub) serve(stream drpc.Stream) error {
@@ -97,7 +105,7 @@
 		return err
 	}
 	s := &session{
-		hub: h, stream: stream, hostName: first.HostName, storedIncarnation: make(chan uint64, 1),
+		hub: h, stream: stream, hostName: first.HostName, storedIncarnation: make(chan uint64, 1), confirmed: make(chan struct{}, 1),
 		source:  fmt.Sprintf("%s%d", sessionPrefix, h.lastSession.Add(1)),
 		version: first.Version, stateRevision: first.Revision, suspects: suspectCursor{list: h.cfg.Suspects},
 	}
@@ -107,8 +115,10 @@
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
+	h.confirmer.add(s, first.Probe)
 	go func() {
 		defer cancel()
+		defer h.confirmer.remove(s)
 		for {
 			var m subscriberMessage
 			if err := stream.MsgRecv(&m, codec.Encoding{}); err != nil {
@@ -120,6 +130,7 @@
 				return
 			}
 			mergeSuspects(h.cfg.Suspects, s.source, m.Suspects)
+			h.confirmer.add(s, m.Probe)
 		}
 	}()
 	err := s.sendUpdates(ctx)
@@ -195,6 +206,7 @@
 		var m hubMessage
 		nodesChanged := s.addNodes(&m)
 		stateChanged := s.addDocument(&m)
+		s.addConfirmation(&m)
 		s.addHostInfo(&m)
 		suspectsChanged := s.suspects.next(&m.Suspects, func(source string) bool {
 			return source != s.source && (s.hostName == "" || isSession(source))
@@ -213,6 +225,7 @@
 		case <-nodesChanged:
 			time.Sleep(batchDelay)
 		case <-stateChanged:
+		case <-s.confirmed:
 		case <-suspectsChanged: // sent at once, because the next copy of a crashing request may be on its way
 		case <-heartbeat.C:
 		}
@@ -252,6 +265,7 @@
 func (s *session) addDocument(m *hubMessage) <-chan struct{} {
 	state, changed := s.hub.cfg.State()
 	s.hub.retain(state)
+	s.hubState = state
 	if s.hostName != "" || state.Revision <= s.stateRevision || state.Version < s.version {
 		return changed
 	}
