gateway: requests with a key need a lease of the client accounts

Cause: a node that is cut off, frozen, suspended or restarted went on to run requests with keys that had been revoked.

Change: with Config.Revoke a node holds its accounts under a lease. A confirmation renews it only if the state of its revision is in force. The entry node checks the lease when it has the headers, after the body and before each attempt, and looks the key up again in the table in force. Requests without a key on public routes, and configurations without accounts, need no lease. A node that has just started holds requests until its first lease, within the limits of awaitConfig, and is not ready before.

Measured: go test -race -run 'Lease|Revoked|Undecoded|KeyIsChecked| BoundBy|Account|Keys' ./gateway passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,6 +88,9 @@
 func (s *requestState) startAttempt(kind attemptKind) bool {
 	g, req := s.req.g, s.req
 	now := time.Now()
+	if s.denial = req.checkAccess(); s.denial != nil {
+		return false
+	}
 	if s.placements >= maxPlacements || s.placements > 0 && !req.replayable() {
 		return false
 	}
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -16,8 +16,10 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/mulberrylink/mulberrylink/coordination/accounts"
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/lease"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/gateway"
@@ -221,6 +223,13 @@
 	table   *routes.Table
 	// memoryBytes is the memory of the nodes that are started from now on, 0 for the default.
 	memoryBytes int64
+	// accountsOf returns the accounts of a version of the configuration instead of those of table, if set.
+	accountsOf func(version uint64) (*accounts.Table, error)
+	// revoke and leaseClock are those of the nodes that are started from now on. noMajority makes the
+	// quorum reads of the control host fail.
+	revoke     time.Duration
+	leaseClock lease.Clock
+	noMajority atomic.Bool
 }
 
 // systemClock implements suspect.Clock.
@@ -261,6 +270,10 @@
 	}, []routes.Service{{Name: "archive", HealthPath: "/health"}, {Name: "desk", HealthPath: "/health"}}, routes.Limits{MaxBodyBytes: 64 << 20})
 	hub := feed.NewHub(feed.HubConfig{
 		Directory: directory.New(), Suspects: suspect.New(suspect.Config{Clock: systemClock{}}), State: d.machine.Current, HasLeader: func() bool { return true },
+		ConfirmedState: func(context.Context) (*document.State, bool) {
+			state, _ := d.machine.Current()
+			return state, !d.noMajority.Load()
+		},
 		Hosts: func() []feed.Host { return nil }, Log: discardLogger(),
 	})
 	s := rpc.NewServer(nil)
@@ -282,6 +295,16 @@
 	d.machine.Apply(0, document.Encode(document.Command{Domain: domain, DomainOut: out}))
 }
 
+func (d *deployment) decodeTable(s *document.State) (*routes.Table, error) {
+	if d.accountsOf == nil {
+		return d.table, nil
+	}
+	table := *d.table
+	var err error
+	table.Accounts, err = d.accountsOf(s.Version)
+	return &table, err
+}
+
 // node is a gateway with its upstream.
 type node struct {
 	inbound   string
@@ -354,9 +377,9 @@
 	n.g = gateway.New(gateway.Config{
 		Name: name, Domain: domain, OutboundAddr: n.outbound, InboundAddr: inbound, AdvertisedAddr: advertised, Seeds: []string{d.hubAddr},
 		Service: u.service, UpstreamAddr: u.addr, Headers: testHeaders{}, GracePeriod: 6 * time.Second,
-		DecodeTable: func(*document.State) (*routes.Table, error) { return d.table, nil },
-		Tuning:      gateway.Tuning{CrossDomainRTT: 4 * time.Millisecond, TransferCostPerKiB: 0.02, RetryPercent: 50, RetryRefillInterval: time.Second, MaxRetryTokens: 3, WarmupRateScale: 1, NonIdempotentValue: 2},
-		Log:         discardLogger(), Registry: n.registry, MemoryBytes: d.memoryBytes,
+		DecodeTable: d.decodeTable, Revoke: d.revoke, LeaseClock: d.leaseClock,
+		Tuning: gateway.Tuning{CrossDomainRTT: 4 * time.Millisecond, TransferCostPerKiB: 0.02, RetryPercent: 50, RetryRefillInterval: time.Second, MaxRetryTokens: 3, WarmupRateScale: 1, NonIdempotentValue: 2},
+		Log:    discardLogger(), Registry: n.registry, MemoryBytes: d.memoryBytes,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -16,6 +16,9 @@
 // upstream crashes too, the suspect is refused everywhere; when the suspect completes, it is
 // cleared. Nodes tell each other with the request, its response, and through protocol/feed.
 //
+// A node may hold its knowledge of the client accounts under a lease (Config.Revoke): a node that control
+// hosts have not confirmed for too long refuses requests with a key, which may have been revoked.
+//
 // # Usage
 //
 //	g := gateway.New(gateway.Config{Name: "node-7", Domain: "d1", …})
@@ -39,6 +42,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/capacity"
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/lease"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
 	"github.com/mulberrylink/mulberrylink/coordination/retry"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
@@ -158,9 +162,15 @@
 	// MemoryBytes is the memory that the host allows the process. All buffers together get a part
 	// of it (state/memory). With 0, memory.DefaultProcessBytes applies.
 	MemoryBytes int64
-	Tuning      Tuning
-	Log         *log.Logger
-	Registry    metrics.Registry
+	// Revoke is the time after the acknowledgement of a configuration that removed a key from which no
+	// request with this key may be accepted on any node, also if the node has not received the
+	// configuration. 0 sets no limit.
+	Revoke time.Duration
+	// LeaseClock measures Revoke, boottime.Clock if it is nil.
+	LeaseClock lease.Clock
+	Tuning     Tuning
+	Log        *log.Logger
+	Registry   metrics.Registry
 }
 
 // Tuning holds the parameters of placement, retries and warm-up.
@@ -205,6 +215,7 @@
 	feed          *feed.Client
 	active        atomic.Pointer[activeConfig]
 	configured    chan struct{} // closed when the first configuration is active
+	lease         *lease.Lease  // of the client accounts, nil without Config.Revoke
 	leaving       atomic.Bool
 	exitDeadline  atomic.Pointer[time.Time] // when a process that is shutting down must have exited
 	exiting       chan struct{}             // closed when the remaining requests have to end
@@ -241,6 +252,7 @@
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
 		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), suspectTurns: newTurnQueue(), stats: newStats(cfg.Registry),
 	}
+	g.lease = newLease(&cfg)
 	g.retryBudgets = retry.New(retry.Config{
 		Clock: systemClock{}, Registry: cfg.Registry, Reserve: 1, RefillInterval: cfg.Tuning.RetryRefillInterval, MaxTokens: cfg.Tuning.MaxRetryTokens,
 		Percent: func(string) int { return cfg.Tuning.RetryPercent },
@@ -263,7 +275,7 @@
 	})
 	g.feed = feed.NewClient(feed.ClientConfig{
 		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout}), Seeds: cfg.Seeds,
-		Directory: g.directory, Suspects: g.suspects, OnState: g.applyState, NodeName: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
+		Directory: g.directory, Suspects: g.suspects, OnState: g.applyState, Probe: g.leaseProbe(), OnConfirmed: g.renewLease, NodeName: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	g.upstream = newUpstream(g)
 	g.outbound = ingress.New(ingress.Config{Addr: cfg.OutboundAddr, Handler: g.serveCaller, MaxConns: budget.callers, OnExhausted: g.freeDescriptors, Memory: g.memory, Log: cfg.Log})
@@ -296,9 +308,10 @@
 func (g *Gateway) Load() placement.Load { return g.admission.Load() }
 
 // Ready reports whether callers should send requests to this node: it accepts their
-// connections, has a configuration and isn't shutting down.
+// connections, has a configuration, has had its first lease or done without, and isn't shutting down.
 func (g *Gateway) Ready() bool {
-	return !g.leaving.Load() && g.active.Load() != nil && g.outbound.Listening()
+	active := g.active.Load()
+	return !g.leaving.Load() && active != nil && g.hasFirstLease(active) && g.outbound.Listening()
 }
 
 // Serve runs the node until ctx ends or a listener fails.
@@ -309,6 +322,7 @@
 	go g.feed.Run(ctx)
 	go g.upstream.probeLoop(ctx)
 	go g.forgetLoop(ctx)
+	go g.leaseLoop(ctx)
 	g.upstream.publish()
 	select {
 	case err := <-serveErr:
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -54,7 +54,7 @@
 // serveCaller handles a request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	active := g.awaitConfig(r, now)
+	active := g.awaitLease(g.awaitConfig(r, now), r, now)
 	if active == nil {
 		g.writeError(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonNoConfig, max(defaultRetryAfter, g.startedAt.Add(typicalConfigDelay).Sub(now)))
 		return
@@ -72,6 +72,10 @@
 		return
 	}
 	account, known := g.authenticate(active.table, route, r)
+	if g.needsLease(active.table, route, r) && !g.lease.Valid() {
+		g.writeError(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, mulberrylink.ReasonLeaseEnded.String(), g.leaseRetryAfter())
+		return
+	}
 	if !known {
 		g.writeError(w, r, nil, http.StatusUnauthorized, mulberrylink.NotRun, mulberrylink.ReasonUnknownKey.String(), 0)
 		return
@@ -104,6 +108,10 @@
 	}
 	req.bodyReadAt = time.Now()
 	req.fingerprint = req.computeFingerprint()
+	if d := req.checkAccess(); d != nil {
+		req.writeDenial(w, d)
+		return
+	}
 	req.serve(w)
 }
 
@@ -187,6 +195,7 @@
 	retriesSpent      int // attempts taken from the retry budget
 	retryAfter        time.Duration
 	rejectReason      string
+	denial            *denial  // why no further attempt may start
 	lastFailure       *attempt // the last failed attempt; decides the response when no other attempt succeeds
 	hedged            bool
 	hedgeHeld         bool // the hedged request waits for lastHedgeAt, because its upstream is in reserve
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -23,6 +23,8 @@
 		s.relayResponse(f)
 	case f != nil:
 		g.writeError(s.w, req.httpReq, req, http.StatusBadGateway, mulberrylink.Unknown, mulberrylink.ReasonLost.String(), 0)
+	case s.denial != nil:
+		req.writeDenial(s.w, s.denial)
 	default:
 		retryAfter := s.retryAfter
 		if retryAfter == 0 {
