--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -24,6 +24,7 @@
 var (
 	errPeerSilent     = errors.New("the other side has been silent for too long")
 	errNoLeader       = errors.New("the control host is not in touch with a leader")
+	errNotConfirmed   = errors.New("the control host confirms no probes")
 	errNearerHost     = errors.New("another control host is in the failure domain of the subscriber")
 	errOtherNode      = errors.New("the record is not that of the subscriber")
 	errRecordTooLarge = errors.New("the record is too large")
@@ -76,6 +77,8 @@
 	lastHeard atomic.Pointer[time.Time]
 	lastWord  atomic.Pointer[time.Time] // last message, also of a control host that knows no leader
 
+	leftUnconfirmedAt time.Time // when a control host that confirmed no probes was last left, used by Run
+
 	mu    sync.Mutex
 	hosts []Host
 	// failedAt is when following a control host last failed, by address.
@@ -269,6 +272,7 @@
 		return err
 	}
 	go c.sendHeartbeats(ctx, stream, addr, sentRecord)
+	confirmedAt := c.cfg.Now()
 	for {
 		var m hubMessage
 		if err := stream.MsgRecv(&m, codec.Encoding{}); err != nil {
@@ -285,6 +289,11 @@
 			return errNearerHost
 		}
 		now := c.cfg.Now()
+		if m.ConfirmedProbe != 0 {
+			confirmedAt = now
+		} else if c.leavesUnconfirmed(confirmedAt, now) {
+			return errNotConfirmed
+		}
 		c.lastWord.Store(&now)
 		if !m.NoLeader {
 			c.lastHeard.Store(&now)
--- a/protocol/feed/confirm.go
+++ b/protocol/feed/confirm.go
@@ -15,6 +15,9 @@
 	// readTimeout bounds one quorum read. A read takes two round trips between control hosts. One that
 	// takes longer waits for a leader, and would confirm older probes than the next one does.
 	readTimeout = 2 * readInterval
+	// confirmTimeout is the time without a confirmation after which a subscriber moves to another control
+	// host. It is longer than an election, and leaves most of a lease for the move.
+	confirmTimeout = 1500 * time.Millisecond
 )
 
 // confirmation states that the state of a revision covers all changes that were acknowledged before
@@ -140,6 +143,17 @@
 	m.ConfirmedProbe, m.ConfirmedRevision = c.probe, c.revision
 }
 
+// leavesUnconfirmed reports whether the client moves to another control host because this one has
+// confirmed nothing since a point in time: it may hear the leader and not be heard by the majority. The
+// client moves once per failedHostPenalty, because the records of all nodes are sent again.
+func (c *Client) leavesUnconfirmed(since, now time.Time) bool {
+	if c.cfg.Probe == nil || now.Sub(since) < confirmTimeout || now.Sub(c.leftUnconfirmedAt) < failedHostPenalty {
+		return false
+	}
+	c.leftUnconfirmedAt = now
+	return true
+}
+
 // newestProbe returns the probe of a message to a hub, 0 if the subscriber holds no lease.
 func (c *Client) newestProbe() int64 {
 	if c.cfg.Probe == nil {
--- a/protocol/feed/feed_test.go
+++ b/protocol/feed/feed_test.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/internal/testclock"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
+	"github.com/mulberrylink/mulberrylink/state/boottime"
 	"github.com/mulberrylink/mulberrylink/transport/rpc"
 )
 
@@ -27,6 +28,7 @@
 	suspects *suspect.List
 	machine  *document.Machine
 	noLeader atomic.Bool
+	confirms atomic.Bool // quorum reads succeed
 	hosts    []feed.Host
 	clock    testclock.Clock
 	stop     context.CancelFunc
@@ -39,6 +41,10 @@
 	h := &host{nodes: directory.New(), suspects: newSuspects(), machine: document.NewMachine()}
 	hub := feed.NewHub(feed.HubConfig{
 		Directory: h.nodes, Suspects: h.suspects, State: h.machine.Current, HasLeader: func() bool { return !h.noLeader.Load() },
+		ConfirmedState: func(context.Context) (*document.State, bool) {
+			state, _ := h.machine.Current()
+			return state, h.confirms.Load()
+		},
 		Hosts: func() []feed.Host { return h.hosts }, Now: h.clock.Now, Log: discardLogger(),
 	})
 	s := rpc.NewServer(nil)
@@ -155,6 +161,22 @@
 	waitFor(t, 2*time.Second, "a newer version of another host", func() bool { return n.version() == 7 })
 }
 
+// Guards against a node whose lease ends because it stays with a control host that hears the leader and
+// cannot reach a majority.
+func TestNodeLeavesHostThatConfirmsNothing(t *testing.T) {
+	a, b := newHost(t), newHost(t)
+	b.confirms.Store(true)
+	known := []feed.Host{{Addr: a.addr, Domain: "d1"}, {Addr: b.addr, Domain: "d2"}}
+	a.hosts, b.hosts = known, known
+	var confirmed atomic.Bool
+	run(t, feed.NewClient(feed.ClientConfig{
+		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second}), Seeds: []string{a.addr}, Directory: directory.New(), NodeName: "n1", Domain: "d1",
+		Probe: boottime.Now, OnConfirmed: func(time.Duration, uint64) { confirmed.Store(true) }, Log: discardLogger(),
+	}))
+	// A lease lasts 4.5 s, and its last probe may be 0.6 s old.
+	waitFor(t, 3900*time.Millisecond, "confirmation by the other host", confirmed.Load)
+}
+
 // Guards against nodes that do not receive one another's records or their changes, for example that a
 // node is leaving.
 func TestNodesLearnOfOneAnother(t *testing.T) {
