--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -24,6 +24,7 @@
 var (
 	errPeerSilent     = errors.New("the other side has been silent for too long")
 	errNoLeader       = errors.New("the control host is not in touch with a leader")
+	errNotConfirmed   = errors.New("the control host confirms no probes")
 	errNearerHost     = errors.New("another control host is in the failure domain of the subscriber")
 	errOtherNode      = errors.New("the record is not that of the subscriber")
 	errRecordTooLarge = errors.New("the record is too large")
@@ -52,6 +53,14 @@
 	Suspects *suspect.List
 	// OnState is called with each newer committed state. It may be nil.
 	OnState func(*document.State)
+	// Probe returns the current reading of a clock of the subscriber. The hub is asked to confirm it:
+	// that the subscriber has the state that was committed when the hub received the reading. No
+	// confirmations are asked for if it is nil.
+	Probe func() time.Duration
+	// OnConfirmed is called with the probe that a hub has confirmed and the revision of the state to
+	// which the confirmation applies. The caller has to check that the state is in force. OnConfirmed
+	// may be nil if Probe is.
+	OnConfirmed func(probe time.Duration, revision uint64)
 	// Domain is the failure domain of the subscriber. Control hosts in this domain are preferred.
 	Domain string
 	// NodeName is the name of the subscribing node. The client ignores records of this node that a
@@ -68,6 +77,8 @@
 	lastHeard atomic.Pointer[time.Time]
 	lastWord  atomic.Pointer[time.Time] // last message, also of a control host that knows no leader
 
+	leftUnconfirmedAt time.Time // when a control host that confirmed no probes was last left, used by Run
+
 	mu    sync.Mutex
 	hosts []Host
 	// failedAt is when following a control host last failed, by address.
@@ -255,12 +266,13 @@
 		c.self = &next
 	}
 	sentRecord := c.self
-	first := &subscriberMessage{Node: sentRecord, HostName: c.cfg.HostName, Version: c.state.Version, Revision: c.state.Revision}
+	first := &subscriberMessage{Node: sentRecord, HostName: c.cfg.HostName, Version: c.state.Version, Revision: c.state.Revision, Probe: c.newestProbe()}
 	c.mu.Unlock()
 	if err := stream.MsgSend(first, codec.Encoding{}); err != nil {
 		return err
 	}
 	go c.sendHeartbeats(ctx, stream, addr, sentRecord)
+	confirmedAt := c.cfg.Now()
 	for {
 		var m hubMessage
 		if err := stream.MsgRecv(&m, codec.Encoding{}); err != nil {
@@ -277,6 +289,11 @@
 			return errNearerHost
 		}
 		now := c.cfg.Now()
+		if m.ConfirmedProbe != 0 {
+			confirmedAt = now
+		} else if c.leavesUnconfirmed(confirmedAt, now) {
+			return errNotConfirmed
+		}
 		c.lastWord.Store(&now)
 		if !m.NoLeader {
 			c.lastHeard.Store(&now)
@@ -302,7 +319,7 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		var m subscriberMessage
+		m := subscriberMessage{Probe: c.newestProbe()}
 		if n := c.selfRecord(); n != sentRecord {
 			m.Node, sentRecord = n, n
 		}
@@ -353,6 +370,9 @@
 	if next != nil && c.cfg.OnState != nil {
 		c.cfg.OnState(next)
 	}
+	if err == nil {
+		c.handleConfirmation(m)
+	}
 	return err
 }
 
