quotas: nodes draw tokens of accounts with a limit from the leader

Cause: requests of an account above its limit took slots, queue places and connections; nothing limited an account over all nodes.

The gateway takes a token after the body has been read and before placement, and refuses with 429 overquota or 503 noquota. Each hedged or repeated attempt takes a token of its own, and tokens of attempts that did not run come back.

--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -27,9 +27,11 @@
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
 	"github.com/mulberrylink/mulberrylink/coordination/quorum"
+	"github.com/mulberrylink/mulberrylink/coordination/quota"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
+	"github.com/mulberrylink/mulberrylink/protocol/quotas"
 	"github.com/mulberrylink/mulberrylink/state/storage"
 	"github.com/mulberrylink/mulberrylink/transport/rpc"
 )
@@ -50,8 +52,8 @@
 	// host has 256 MB of disk and less than 300 MB of memory.
 	snapshotBytes = 8 << 20
 	// maxConns bounds the connections of nodes and other control hosts. Each takes about 30 KiB beside
-	// its messages.
-	maxConns = 2048
+	// its messages. With 1,400 nodes the leader has one of each for quotas, and its part of their feeds.
+	maxConns = 3072
 	// maxSnapshotBytes bounds an incoming snapshot, which is kept in memory until it is complete. The
 	// configuration has at most 4 MiB.
 	maxSnapshotBytes = 16 << 20
@@ -78,27 +80,32 @@
 	GroupSize int
 	// Validate returns an error if the change is invalid for the base state.
 	Validate func(base *document.State, c *document.Change) error
-	Log      *log.Logger
+	// Limits decodes the rate limits of all client accounts from a committed document. It is called once
+	// for each version while this host is the leader. It may be nil.
+	Limits func(*document.State) (map[string]quota.Limit, error)
+	Log    *log.Logger
 	// Registry receives the gauges of the host. It may be nil.
 	Registry metrics.Registry
 }
 
 // Host is an open control host.
 type Host struct {
-	cfg        Config
-	nodes      *directory.Directory
-	suspects   *suspect.List
-	hub        *feed.Hub
-	rpc        *rpc.Server
-	pool       *rpc.Pool
-	replica    atomic.Pointer[replica]
-	joiners    joiners
-	changeMu   sync.Mutex // held from the look at the group until its change is complete
-	peerFeeds  peerFeeds
-	clock      runClock // used by maintainGroup
-	seedMu     sync.Mutex
-	addedSeeds []string // added by AddSeeds
-	wg         sync.WaitGroup
+	cfg         Config
+	nodes       *directory.Directory
+	suspects    *suspect.List
+	hub         *feed.Hub
+	quotas      *quotaLeader
+	quotaServer *quotas.Server
+	rpc         *rpc.Server
+	pool        *rpc.Pool
+	replica     atomic.Pointer[replica]
+	joiners     joiners
+	changeMu    sync.Mutex // held from the look at the group until its change is complete
+	peerFeeds   peerFeeds
+	clock       runClock // used by maintainGroup
+	seedMu      sync.Mutex
+	addedSeeds  []string // added by AddSeeds
+	wg          sync.WaitGroup
 }
 
 // systemClock implements suspect.Clock.
@@ -120,6 +127,9 @@
 	if cfg.Registry == nil {
 		cfg.Registry = metrics.NewRegistry()
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = noLimits
+	}
 	h := &Host{cfg: cfg, nodes: directory.New(), suspects: suspect.New(suspect.Config{Clock: systemClock{}})}
 	h.pool = rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout})
 	if err := h.formatDataDir(); err != nil {
@@ -131,9 +141,11 @@
 	h.hub = feed.NewHub(feed.HubConfig{
 		Directory: h.nodes, Suspects: h.suspects, State: h.state, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
 	})
+	h.quotas = newQuotaLeader(h)
+	h.quotaServer = quotas.NewServer(h.quotas)
 	h.rpc = rpc.NewServer(func(err error) { cfg.Log.Debug().Err(err).Msg("connection lost") })
 	h.rpc.SetLimits(rpc.Limits{Conns: maxConns, WriteTimeout: writeTimeout})
-	for _, method := range []func() (string, rpc.Handler){h.stepMethod, h.hubMethod, h.joinMethod, h.leaveMethod} {
+	for _, method := range []func() (string, rpc.Handler){h.stepMethod, h.hubMethod, h.quotaMethod, h.joinMethod, h.leaveMethod} {
 		h.rpc.Handle(method())
 	}
 	return h, nil
@@ -228,6 +240,7 @@
 	h.wg.Go(func() { h.joinLoop(ctx) })
 	h.wg.Go(func() { h.maintainGroup(ctx) })
 	h.wg.Go(func() { h.watchStatus(ctx) })
+	h.wg.Go(func() { h.quotas.run(ctx) })
 	err = h.rpc.Serve(ctx, lis)
 	h.wg.Wait()
 	return err
@@ -238,6 +251,7 @@
 func (h *Host) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
+	h.quotas.stop()
 	h.leaveGroup(ctx)
 	r := h.replica.Load()
 	err := r.quorumHost.Stop(ctx)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,14 +105,14 @@
 		s.hedgeHeld = true
 		return false
 	}
-	if !ok || kind == hedgeAttempt && choice.Cost > maxHedgeCost || kind != firstAttempt && !s.takeRetry() {
+	if !ok || kind == hedgeAttempt && choice.Cost > maxHedgeCost || !s.ensureToken(kind) || kind != firstAttempt && !s.takeRetry() {
 		return false
 	}
 	s.placements++
 	if choice.PassedOver != "" {
 		g.stats.count("passed_over_reserve")
 	}
-	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, start: now, hedge: kind == hedgeAttempt, trial: trial}
+	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, start: now, token: req.useToken(), hedge: kind == hedgeAttempt, trial: trial}
 	ctx, cancel := context.WithCancel(s.ctx)
 	a.cancel = cancel
 	s.running = append(s.running, a)
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -45,6 +45,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/servicetime"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
+	"github.com/mulberrylink/mulberrylink/protocol/quotas"
 	"github.com/mulberrylink/mulberrylink/state/memory"
 	"github.com/mulberrylink/mulberrylink/transport/exchange"
 	"github.com/mulberrylink/mulberrylink/transport/ingress"
@@ -203,6 +204,7 @@
 
 	directory     *directory.Directory
 	feed          *feed.Client
+	quotas        *quotas.Client
 	active        atomic.Pointer[activeConfig]
 	configured    chan struct{} // closed when the first configuration is active
 	leaving       atomic.Bool
@@ -265,6 +267,7 @@
 		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout}), Seeds: cfg.Seeds,
 		Directory: g.directory, Suspects: g.suspects, OnState: g.applyState, NodeName: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
 	})
+	g.quotas = g.newQuotaClient()
 	g.upstream = newUpstream(g)
 	g.outbound = ingress.New(ingress.Config{Addr: cfg.OutboundAddr, Handler: g.serveCaller, MaxConns: budget.callers, OnExhausted: g.freeDescriptors, Memory: g.memory, Log: cfg.Log})
 	g.inbound = ingress.New(ingress.Config{Addr: cfg.InboundAddr, Handler: g.servePeer, MaxConns: budget.inbound, OnExhausted: g.freeDescriptors, Memory: g.memory, Log: cfg.Log})
@@ -307,6 +310,7 @@
 	go func() { serveErr <- g.outbound.Serve(ctx) }()
 	go func() { serveErr <- g.inbound.Serve(ctx) }()
 	go g.feed.Run(ctx)
+	go g.quotas.Run(ctx)
 	go g.upstream.probeLoop(ctx)
 	go g.forgetLoop(ctx)
 	g.upstream.publish()
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/accounts"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
+	"github.com/mulberrylink/mulberrylink/coordination/quota"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/protocol/hop"
 	"github.com/mulberrylink/mulberrylink/state/memory"
@@ -104,6 +105,10 @@
 	}
 	req.bodyReadAt = time.Now()
 	req.fingerprint = req.computeFingerprint()
+	if !g.awaitQuota(w, req) {
+		return
+	}
+	defer req.returnTokens()
 	req.serve(w)
 }
 
@@ -165,6 +170,7 @@
 	hedge  bool
 	trial  bool // may test whether an upstream in reserve is well-formed again
 	start  time.Time
+	token  quota.Token // of a request of an account with a limit
 	cancel context.CancelFunc
 	res    result
 }
@@ -272,6 +278,7 @@
 		a.cancel() // a response that is still being received ends with its context
 	}
 	s.recordAttempt(a, now)
+	s.keepToken(a)
 	switch {
 	case res.meta.RejectReason != "":
 		s.rejectReason, s.retryAfter = res.meta.RejectReason, earliestRetryAfter(s.retryAfter, res.meta.RetryAfter)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/accounts"
+	"github.com/mulberrylink/mulberrylink/coordination/quota"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/state/memory"
 	"github.com/mulberrylink/mulberrylink/transport/ingress"
@@ -42,6 +43,7 @@
 	serviceTimeAssumed bool                  // no request of the route has been observed yet
 	budgetRequest      *mulberrylink.Request // the request as the retry budget counts it
 	fingerprint        uint64                // set once the body has been read
+	tokens             []quota.Token         // for attempts that have not started, of an account with a limit
 }
 
 func (g *Gateway) newRequest(active *activeConfig, route *routes.Route, account *accounts.Account, r *http.Request, now time.Time) *request {
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -32,7 +32,7 @@
 		if reason == "" {
 			reason = mulberrylink.ReasonNoUpstream.String()
 		}
-		g.writeError(s.w, req.httpReq, req, http.StatusServiceUnavailable, mulberrylink.NotRun, reason, retryAfter)
+		g.writeError(s.w, req.httpReq, req, statusNotRun(reason), mulberrylink.NotRun, reason, retryAfter)
 	}
 	return true
 }
@@ -77,6 +77,9 @@
 // writeError writes a response that the node itself generates.
 func (g *Gateway) writeError(w http.ResponseWriter, r *http.Request, req *request, status int, outcome mulberrylink.Outcome, reason string, retryAfter time.Duration) {
 	g.stats.count("refused." + reason)
+	if req != nil && req.account != nil {
+		g.stats.count("refused_account." + reason)
+	}
 	h := w.Header()
 	h["Content-Type"] = nil
 	if id := g.cfg.Headers.RequestID(r.Header); id != "" {
--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -107,6 +107,9 @@
 	return c.hostDomain
 }
 
+// HostAddrs returns the addresses of the known control hosts in the order in which they are tried.
+func (c *Client) HostAddrs() []string { return c.hostsByPreference() }
+
 // hostsByPreference returns the addresses of the control hosts in the order in which they are tried,
 // sorted by rank. Control hosts of the same rank are in random order, so that subscribers are spread
 // over them.
