--- a/controlhost/controlhost_test.go
+++ b/controlhost/controlhost_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/mulberrylink/mulberrylink/controlhost"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/quota"
 	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 )
 
@@ -23,6 +24,8 @@
 	t     *testing.T
 	seeds []string
 	hosts map[string]*runningHost // by address
+	// limits decodes the limits of client accounts. It may be nil.
+	limits func(*document.State) (map[string]quota.Limit, error)
 }
 
 // runningHost is a control host of a cluster.
@@ -48,7 +51,7 @@
 	c.t.Helper()
 	registry := metrics.NewRegistry()
 	h, err := controlhost.Open(controlhost.Config{
-		Registry: registry, Name: addr, Dir: dir, Addr: addr, Seeds: c.seeds, Bootstrap: bootstrap, GroupSize: 5,
+		Registry: registry, Name: addr, Dir: dir, Addr: addr, Seeds: c.seeds, Bootstrap: bootstrap, GroupSize: 5, Limits: c.limits,
 		Validate: func(_ *document.State, ch *document.Change) error {
 			if len(ch.Lists) > 0 && ch.Lists[0].Name == "bad" {
 				return errInvalid
--- a/controlhost/quotas.go
+++ b/controlhost/quotas.go
@@ -36,6 +36,7 @@
 	allocator *quota.Allocator
 	term      uint64 // of the last confirmed round
 	version   uint64 // of the document that the limits are from
+	decoded   bool   // whether version is set
 	hasLimits bool
 	drawnAt   time.Duration
 	drawn     bool
@@ -87,19 +88,17 @@
 // that was acknowledged before it. It returns false if no limits could be read. The caller holds mu.
 func (q *quotaLeader) updateLimits() bool {
 	state, _ := q.host.state()
-	if q.hasLimits && state.Version == q.version {
-		return true
+	if q.decoded && state.Version == q.version {
+		return q.hasLimits
 	}
+	q.decoded, q.version = true, state.Version
 	limits, err := q.host.cfg.Limits(state)
 	if err != nil {
-		if q.version != state.Version {
-			q.host.cfg.Log.Error().Uint64("version", state.Version).Err(err).Msg("limits of client accounts not decoded; keeping the current ones")
-		}
-		q.version = state.Version
+		q.host.cfg.Log.Error().Uint64("version", state.Version).Err(err).Msg("limits of client accounts not decoded; keeping the current ones")
 		return q.hasLimits
 	}
 	q.allocator.SetLimits(q.now(), limits)
-	q.version, q.hasLimits = state.Version, true
+	q.hasLimits = true
 	return true
 }
 
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -168,3 +168,43 @@
 		is.True(float64(i-first+1) <= bound)
 	}
 }
+
+// Guards against attempts of one request that run on the token of another, and against tokens that are lost
+// although the request did not run.
+func TestEachAttemptTakesAToken(t *testing.T) {
+	is := is.New(t)
+	d := newDeploymentWithoutConfig(t)
+	d.useAccounts(
+		accounts.Definition{Account: accounts.Account{Name: "small", Rate: 0.01, Burst: 6}, Keys: []string{"key-small"}},
+		accounts.Definition{Account: accounts.Account{Name: "free"}, Keys: []string{"key-free"}},
+	)
+	d.useControlHosts()
+	n, other := d.addNode("n1", "d1", "archive", 4), d.addNode("n2", "d2", "archive", 4)
+	granted := func() int64 { return n.registry.Get("quota.granted").(metrics.Gauge).Value() }
+	runs := func(id string) int { return n.upstream.runsOf(id) + other.upstream.runsOf(id) }
+	handle := func(h http.HandlerFunc) { n.upstream.setHandler(h); other.upstream.setHandler(h) }
+	waitFor(t, 10*time.Second, "two upstreams", func() bool {
+		return n.sendWithKey("GET", "/read/0", "first", "key-free").status == http.StatusOK && len(n.g.ServiceNodes("archive")) >= 1
+	})
+	waitFor(t, 5*time.Second, "token", func() bool { return n.sendWithKey("GET", "/read/0", "first", "key-small").status == http.StatusOK })
+
+	handle(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	waitFor(t, 5*time.Second, "repeated request", func() bool {
+		n.sendWithKey("GET", "/read/0", "free", "key-free")
+		return runs("free") >= 2
+	})
+	is.Equal(n.sendWithKey("GET", "/read/0", "small", "key-small").status, http.StatusInternalServerError)
+	is.Equal(runs("small"), 1) // no token for another attempt
+
+	handle(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Test-Notrun", "full")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	start, before := time.Now(), granted()
+	is.Equal(n.sendWithKey("GET", "/read/0", "notrun", "key-small").status, http.StatusServiceUnavailable)
+	handle(nil)
+	is.Equal(n.sendWithKey("GET", "/read/0", "next", "key-small").status, http.StatusOK)
+	if time.Since(start) < quota.TokenTTL {
+		is.Equal(granted(), before+1) // both with one token
+	}
+}
--- a/protocol/quotas/doc.go
+++ b/protocol/quotas/doc.go
@@ -39,14 +39,16 @@
 	methodDraw = "quota/draw"
 
 	// answerTimeout is the silence after which a stream with unanswered asks is ended. It is longer than
-	// leaderWait and the pauses of a node with a sixth of a core.
+	// leaderWait and the pauses of a node with a sixth of a core. An answer that has arrived by then is
+	// read within answerGrace.
 	answerTimeout = 250 * time.Millisecond
+	answerGrace   = 50 * time.Millisecond
 	// leaderWait is how long a host waits for a leader before it answers that it knows none. It keeps
 	// the messages of nodes few while a leader is elected.
 	leaderWait = 150 * time.Millisecond
 	// leaderPoll is how often a host looks for the leader meanwhile.
 	leaderPoll = 20 * time.Millisecond
-	// avoidTime is how long a leader that gave no answer is not accepted.
+	// avoidTime is how long a node asks for another leader than the one that gave no answer.
 	avoidTime = time.Second
 	// retryDelay is the delay before the next control host is tried, also after maxRedirects: hosts
 	// may name each other for a moment while the leader changes.
--- a/protocol/quotas/quotas_test.go
+++ b/protocol/quotas/quotas_test.go
@@ -54,7 +54,7 @@
 	return *h.leader.Load()
 }
 
-func newHost(t *testing.T) *host {
+func newHost(t testing.TB) *host {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -72,7 +72,7 @@
 }
 
 // newClient returns a running client of the hosts.
-func newClient(t *testing.T, hosts ...*host) *quotas.Client {
+func newClient(t testing.TB, hosts ...*host) *quotas.Client {
 	c := quotas.NewClient(quotas.ClientConfig{
 		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second}), Log: &log.Logger{Level: log.FatalLevel},
 		Hosts: func() (addrs []string) {
--- a/protocol/quotas/server.go
+++ b/protocol/quotas/server.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// answer waits for the leader for up to leaderWait.
+// answer waits for up to leaderWait for a leader that the node has not just failed to reach, and then names
+// that one again: it may have been slow only once, or the node itself.
 func (s *Server) answer(ctx context.Context, node uint32, m *drawMessage) *answerMessage {
 	ctx, cancel := context.WithTimeout(ctx, leaderWait)
 	defer cancel()
@@ -61,12 +62,13 @@
 		if grants, ok := s.leader.Draw(ctx, node, asks); ok {
 			return &answerMessage{At: m.At, Leads: true, Grants: encodeGrants(grants), Pace: s.pace().Microseconds()}
 		}
-		if addr := s.leader.LeaderAddr(); addr != "" && addr != m.Avoid {
+		addr := s.leader.LeaderAddr()
+		if addr != "" && addr != m.Avoid {
 			return &answerMessage{At: m.At, Leader: addr}
 		}
 		select {
 		case <-ctx.Done():
-			return &answerMessage{At: m.At}
+			return &answerMessage{At: m.At, Leader: addr}
 		case <-ticker.C:
 		}
 	}
--- a/protocol/quotas/stream.go
+++ b/protocol/quotas/stream.go
@@ -26,6 +26,7 @@
 	pace       time.Duration
 	nextAt     time.Time   // earliest time of the next message
 	silence    *time.Timer // ends the stream when asks have no answer
+	overdue    bool        // answerTimeout has passed since the last answer
 }
 
 // asked reports whether asks had no answer when the stream ended, or it could not be opened.
@@ -45,7 +46,14 @@
 		return "", err
 	}
 	defer func() { _ = conn.Close() }()
-	s.silence = time.AfterFunc(answerTimeout, func() { cancel(); _ = conn.Close() })
+	c.mu.Lock()
+	s.silence = time.AfterFunc(answerTimeout, func() {
+		if s.isOver() {
+			cancel()
+			_ = conn.Close()
+		}
+	})
+	c.mu.Unlock()
 	defer s.silence.Stop()
 	st, err := conn.NewStream(ctx, methodDraw, codec.Encoding{})
 	if err != nil {
@@ -75,12 +83,26 @@
 	}
 }
 
+// isOver reports whether the stream ends for lack of an answer. An answer may have arrived while this process
+// did not run, so it gets answerGrace to be read.
+func (s *stream) isOver() bool {
+	s.client.mu.Lock()
+	defer s.client.mu.Unlock()
+	if s.overdue {
+		return true
+	}
+	s.overdue = true
+	s.silence.Reset(answerGrace)
+	return false
+}
+
 // handle takes an answer of a host that leads or knows no leader.
 func (s *stream) handle(m *answerMessage) {
 	c := s.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.unanswered--
+	s.overdue = false
 	if s.unanswered > 0 {
 		s.silence.Reset(answerTimeout)
 	} else {
@@ -151,6 +173,7 @@
 	}
 	at, asks := c.cache.Asks(c.cfg.Now())
 	if s.unanswered == 0 {
+		s.overdue = false
 		s.silence.Reset(answerTimeout)
 	}
 	s.opened = true
