quotas: control hosts relay asks of nodes that cannot reach the leader

Cause: where only the path between a node and the leader is broken, the node got no tokens, although its own control host reached the leader.

Change: a node tells which leader it could not reach, and the control host relays its asks there for 10 s. A leader that answered late once is found again in the same way. Nodes are identified by a number of their own, so that their demand keeps its place when they come over another host.

--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -142,10 +142,10 @@
 		Directory: h.nodes, Suspects: h.suspects, State: h.state, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	h.quotas = newQuotaLeader(h)
-	h.quotaServer = quotas.NewServer(h.quotas)
+	h.quotaServer = quotas.NewServer(h.quotas, rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout, IdlePerAddr: relayConns}))
 	h.rpc = rpc.NewServer(func(err error) { cfg.Log.Debug().Err(err).Msg("connection lost") })
 	h.rpc.SetLimits(rpc.Limits{Conns: maxConns, WriteTimeout: writeTimeout})
-	for _, method := range []func() (string, rpc.Handler){h.stepMethod, h.hubMethod, h.quotaMethod, h.joinMethod, h.leaveMethod} {
+	for _, method := range []func() (string, rpc.Handler){h.stepMethod, h.hubMethod, h.quotaMethod, h.quotaRelayMethod, h.joinMethod, h.leaveMethod} {
 		h.rpc.Handle(method())
 	}
 	return h, nil
--- a/controlhost/quotas.go
+++ b/controlhost/quotas.go
@@ -22,6 +22,8 @@
 	confirmTimeout = 200 * time.Millisecond
 	// drawMemory is how long after the last draw the rounds go on.
 	drawMemory = time.Second
+	// relayConns is the number of idle connections to a leader for asks of nodes that cannot reach it.
+	relayConns = 16
 )
 
 // quotaLeader holds the quotas of client accounts while this host is the leader. It implements
@@ -53,6 +55,11 @@
 	return name, handler
 }
 
+func (h *Host) quotaRelayMethod() (string, rpc.Handler) {
+	name, handler := h.quotaServer.RelayMethod()
+	return name, handler
+}
+
 // Draw implements quotas.Leader.
 func (q *quotaLeader) Draw(ctx context.Context, node uint32, asks []quota.Ask) ([]quota.Grant, bool) {
 	q.mu.Lock()
--- a/protocol/quotas/client.go
+++ b/protocol/quotas/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 // Client holds the tokens of one node. It is safe for concurrent use.
 type Client struct {
 	cfg  ClientConfig
+	node uint32        // random identifier of this process
 	wake chan struct{} // signals that there may be something to send
 
 	mu      sync.Mutex
@@ -49,7 +51,7 @@
 	if cfg.Now == nil {
 		cfg.Now = boottime.Now
 	}
-	return &Client{cfg: cfg, wake: make(chan struct{}, 1), cache: quota.NewCache(), waiters: make(map[*quota.Ticket]chan struct{})}
+	return &Client{cfg: cfg, node: rand.Uint32() | 1, wake: make(chan struct{}, 1), cache: quota.NewCache(), waiters: make(map[*quota.Ticket]chan struct{})}
 }
 
 // Acquire takes a token for a request of an account and waits for it for at most the given time. The
--- a/protocol/quotas/doc.go
+++ b/protocol/quotas/doc.go
@@ -10,8 +10,9 @@
 // the asks.
 //
 // A leader that is frozen, or behind a broken network path, answers nothing. The node ends the stream when
-// an ask has had no answer for answerTimeout, and asks another control host for another leader than that.
-// Requests are refused at once from then on until a leader answers.
+// an ask has had no answer for answerTimeout, and tells another control host which leader it cannot reach.
+// That host relays the asks to this leader, or names the next one. Requests are refused at once until the
+// first answer.
 //
 // # Usage
 //
@@ -36,7 +37,8 @@
 )
 
 const (
-	methodDraw = "quota/draw"
+	methodDraw  = "quota/draw"
+	methodRelay = "quota/relay"
 
 	// answerTimeout is the silence after which a stream with unanswered asks is ended. It is longer than
 	// leaderWait and the pauses of a node with a sixth of a core. An answer that has arrived by then is
@@ -48,8 +50,8 @@
 	leaderWait = 150 * time.Millisecond
 	// leaderPoll is how often a host looks for the leader meanwhile.
 	leaderPoll = 20 * time.Millisecond
-	// avoidTime is how long a node asks for another leader than the one that gave no answer.
-	avoidTime = time.Second
+	// avoidTime is how long a node does not connect to a leader that gave no answer.
+	avoidTime = 10 * time.Second
 	// retryDelay is the delay before the next control host is tried, also after maxRedirects: hosts
 	// may name each other for a moment while the leader changes.
 	retryDelay   = 50 * time.Millisecond
@@ -71,6 +73,8 @@
 
 // drawMessage is a message from a node to a control host.
 type drawMessage struct {
+	// Node identifies the node. It is set in the first message of a stream, and in relayed ones.
+	Node uint32 `cbor:"n,omitempty"`
 	// Avoid is the address of a leader that has given no answer.
 	Avoid string `cbor:"v,omitempty"`
 	// At is the reading of the node's clock, in nanoseconds.
--- a/protocol/quotas/quotas_test.go
+++ b/protocol/quotas/quotas_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/phuslu/log"
+	"storj.io/drpc"
 
 	"github.com/mulberrylink/mulberrylink/coordination/quota"
 	"github.com/mulberrylink/mulberrylink/protocol/quotas"
@@ -63,7 +64,9 @@
 	h.limit.Store(1 << 20)
 	h.leader.Store(new(string))
 	s := rpc.NewServer(nil)
-	s.Handle(quotas.NewServer(h).Method())
+	server := quotas.NewServer(h, rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second, IdlePerAddr: 4}))
+	s.Handle(server.Method())
+	s.Handle(server.RelayMethod())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(ctx, lis) }()
@@ -73,8 +76,12 @@
 
 // newClient returns a running client of the hosts.
 func newClient(t testing.TB, hosts ...*host) *quotas.Client {
+	return newClientWith(t, rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second}), hosts...)
+}
+
+func newClientWith(t testing.TB, d quotas.Dialer, hosts ...*host) *quotas.Client {
 	c := quotas.NewClient(quotas.ClientConfig{
-		Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second}), Log: &log.Logger{Level: log.FatalLevel},
+		Dialer: d, Log: &log.Logger{Level: log.FatalLevel},
 		Hosts: func() (addrs []string) {
 			for _, h := range hosts {
 				addrs = append(addrs, h.addr)
@@ -157,6 +164,37 @@
 	return c.Acquire(context.Background(), account, shortWait).Verdict
 }
 
+// brokenLink is a dialer that cannot reach one address.
+type brokenLink struct {
+	quotas.Dialer
+	addr  string
+	tried atomic.Int64
+}
+
+func (d *brokenLink) Dial(ctx context.Context, addr string) (drpc.Conn, error) {
+	if addr == d.addr {
+		d.tried.Add(1)
+		return nil, net.ErrClosed
+	}
+	return d.Dialer.Dial(ctx, addr)
+}
+
+// Guards against a node that gets no tokens because only its own path to the leader is broken.
+func TestRelay(t *testing.T) {
+	is := is.New(t)
+	a, b := newHost(t), newHost(t)
+	a.leads.Store(true)
+	b.leader.Store(&a.addr)
+	link := &brokenLink{Dialer: rpc.NewPool(rpc.PoolConfig{DialTimeout: time.Second}), addr: a.addr}
+	c := newClientWith(t, link, a, b)
+	is.Equal(acquire(c, "x"), quota.Granted)
+	for range 20 {
+		is.Equal(acquire(c, "x"), quota.Granted)
+	}
+	is.Equal(link.tried.Load(), int64(1))
+	is.Equal(b.messages.Load(), int64(0))
+}
+
 // Guards against a node that does not come back to the only control host after that was unreachable, or had
 // no leader for some time.
 func TestNoLeaderForSomeTime(t *testing.T) {
--- a/protocol/quotas/stream.go
+++ b/protocol/quotas/stream.go
@@ -176,8 +176,12 @@
 		s.overdue = false
 		s.silence.Reset(answerTimeout)
 	}
+	m := &drawMessage{Avoid: c.avoided(), At: int64(at), Asks: encodeAsks(asks)}
+	if !s.opened {
+		m.Node = c.node
+	}
 	s.opened = true
 	s.unanswered++
 	s.nextAt = now.Add(s.pace)
-	return &drawMessage{Avoid: c.avoided(), At: int64(at), Asks: encodeAsks(asks)}, 0
+	return m, 0
 }
