quotas: nodes leave a control host that knows no leader

Cause: while the control hosts were split, 31 of 57 nodes stayed with a host of the smaller side, which answered each ask that it knows no leader, and refused requests with noquota for 4 s until the split was over. Change: such an answer ends the stream, and the node asks another host. It does not avoid the former one afterwards: that one may become the leader.

--- a/protocol/quotas/client.go
+++ b/protocol/quotas/client.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 	"storj.io/drpc"
 
@@ -192,7 +193,9 @@
 // recordFailure records that a stream has failed. If asks had no answer, the leader is lost.
 func (c *Client) recordFailure(addr string, asked bool, err error) {
 	c.attempt++
-	c.avoid, c.avoidUntil = addr, c.cfg.Now()+avoidTime
+	if !errors.Is(err, errNoLeader) { // a host without a leader may become the leader itself
+		c.avoid, c.avoidUntil = addr, c.cfg.Now()+avoidTime
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if asked {
--- a/protocol/quotas/quotas_test.go
+++ b/protocol/quotas/quotas_test.go
@@ -210,3 +210,15 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// Guards against a node that stays with a control host that knows no leader, since it is cut off from the
+// others, while another control host leads.
+func TestHostWithoutLeaderIsLeft(t *testing.T) {
+	is := is.New(t)
+	cutOff, old, leader := newHost(t), newHost(t), newHost(t)
+	leader.leads.Store(true)
+	old.leader.Store(&cutOff.addr) // has not noticed yet that it is cut off as well
+	start := time.Now()
+	is.Equal(acquire(newClient(t, cutOff, old, leader), "a"), quota.Granted)
+	is.True(time.Since(start) < 2*time.Second) // a new leader is used within the time of an election
+}
--- a/protocol/quotas/stream.go
+++ b/protocol/quotas/stream.go
@@ -80,6 +80,10 @@
 			return m.Leader, nil
 		}
 		s.handle(&m)
+		if !m.Leads {
+			// The host may be cut off from the others for long, and another one knows the leader.
+			return "", errNoLeader
+		}
 	}
 }
 
