quotas: standby tokens for the time without a leader

Cause: while control hosts elect a leader, all requests of accounts with a limit were refused once the cached tokens had expired.

Change: an account's bucket also hands out standby tokens, at most those of 0.2 s of its rate and 8 over all nodes. A node spends one when an ask has had no answer for 50 ms. The record of a node's demand has 16 bytes.

--- a/coordination/quota/allocator.go
+++ b/coordination/quota/allocator.go
@@ -139,6 +139,7 @@
 	b.refill(now)
 	b.takeBack(ask.Returned)
 	g := b.draw(now, node, ask)
+	g.Standby = b.drawStandby(now, a.startedAt, node, ask.Standby)
 	g.Starting = g.RetryAfter > 0 && now-a.startedAt < startingTime
 	return g
 }
@@ -152,13 +153,14 @@
 	a.sweptAt = now
 	maps.DeleteFunc(a.buckets, func(_ string, b *bucket) bool {
 		maps.DeleteFunc(b.shares, func(_ uint32, s share) bool {
-			old := now-s.at > forgetTime
+			old := s.age(now) > forgetTime && (s.standby == 0 || s.age(now) > standbyHold)
 			if old {
 				b.credits -= float64(s.credit)
+				b.standby -= int(s.standby)
 			}
 			return old
 		})
-		if len(b.shares) > 0 {
+		if len(b.shares) > 0 || now < b.spentUntil {
 			return false
 		}
 		b.refill(now)
@@ -176,13 +178,28 @@
 	shares   map[uint32]share
 	granted  [grantSlots]float64 // tokens granted in the current slot and those before it
 	slot     time.Duration       // start of the current slot
+	standby  int                 // sum of the standby tokens of shares
+	// spent are the standby tokens that nodes no longer hold and have perhaps used within the last
+	// spentHold.
+	spent      int
+	spentUntil time.Duration
 }
 
 // share is what is known of the demand of one node.
 type share struct {
-	rate   float32       // at the last ask
-	credit float32       // tokens of a hot account that the node has saved
-	at     time.Duration // last ask
+	rate    float32 // at the last ask
+	credit  float32 // tokens of a hot account that the node has saved
+	standby int32   // standby tokens that the node may hold
+	asked   uint32  // time of the last ask in milliseconds, which wraps around after 49 days
+}
+
+func milliseconds(t time.Duration) uint32 {
+	return uint32(t / time.Millisecond) //nolint:gosec // wraps around
+}
+
+// age returns the time since the last ask.
+func (s *share) age(now time.Duration) time.Duration {
+	return time.Duration(milliseconds(now)-s.asked) * time.Millisecond
 }
 
 func newBucket(limit Limit, startedAt time.Duration) *bucket {
@@ -246,7 +263,7 @@
 		n += min(ask.Ahead, (level-n)/aheadShare)
 		b.setCredit(&s, 0)
 	}
-	s.at = now
+	s.asked = milliseconds(now)
 	b.shares[node] = s
 	b.level -= float64(n)
 	b.granted[0] += float64(n)
@@ -261,9 +278,9 @@
 func (b *bucket) updateShare(now time.Duration, node uint32, rate float64) share {
 	s, known := b.shares[node]
 	if !known {
-		s.at = now
+		s.asked = milliseconds(now)
 	}
-	b.demand = max(0, b.demand-float64(s.rate)*decay(now-s.at)) + rate
+	b.demand = max(0, b.demand-float64(s.rate)*decay(s.age(now))) + rate
 	s.rate = float32(rate)
 	return s
 }
@@ -271,7 +288,7 @@
 // earn adds the credit since the last ask of a node.
 func (b *bucket) earn(now time.Duration, s *share) {
 	inflow := b.inflow(s)
-	b.setCredit(s, min(float64(s.credit)+inflow*(now-s.at).Seconds(), 1+inflow*creditTime.Seconds()))
+	b.setCredit(s, min(float64(s.credit)+inflow*s.age(now).Seconds(), 1+inflow*creditTime.Seconds()))
 }
 
 func (b *bucket) setCredit(s *share, credit float64) {
--- a/coordination/quota/cache.go
+++ b/coordination/quota/cache.go
@@ -66,12 +66,13 @@
 }
 
 // CacheCounts are totals since the Cache was made.
-type CacheCounts struct{ Asked, Granted, Returned, Expired int64 }
+type CacheCounts struct{ Asked, Granted, Returned, Expired, Standby int64 }
 
 // sentMessage is a message to the leader that has not been answered.
 type sentMessage struct {
-	at   time.Duration
-	asks []Ask
+	at    time.Duration
+	asks  []Ask
+	spent []int // entry.spent of the accounts of asks
 }
 
 // entry is the state of one account on the node.
@@ -87,6 +88,9 @@
 	starting     bool          // Grant.Starting of the last empty grant
 	spacing      time.Duration // RetryAfter of the last empty grant
 	promised     time.Duration // the latest time at which a refused request was told to come back
+	standby      int           // standby tokens
+	standbyUntil time.Duration // their expiry
+	spent        int           // standby tokens used so far
 }
 
 // batch is a number of tokens with the same expiry.
@@ -121,10 +125,11 @@
 		return t
 	}
 	switch {
-	case c.lost:
-		t.Verdict, t.RetryAfter = NoQuota, lostRetry
 	case now < e.refusedUntil:
 		e.refuse(now, t)
+	case c.takeStandby(now, e, t):
+	case c.lost:
+		t.Verdict, t.RetryAfter = NoQuota, lostRetry
 	default:
 		e.waiting = append(e.waiting, t)
 		c.dirty[account] = e
@@ -177,14 +182,18 @@
 	}
 	slices.SortFunc(asks, func(a, b Ask) int { return strings.Compare(a.Account, b.Account) })
 	clear(c.dirty)
-	c.sent = append(c.sent, sentMessage{at: c.lastAt, asks: asks})
+	m := sentMessage{at: c.lastAt, asks: asks}
+	for i := range asks {
+		m.spent = append(m.spent, c.accounts[asks[i].Account].spent)
+	}
+	c.sent = append(c.sent, m)
 	return c.lastAt, asks
 }
 
 // appendAsk appends the ask of an account, unless it is empty.
 func (c *Cache) appendAsk(asks []Ask, now time.Duration, e *entry) []Ask {
 	c.dropExpired(now, e)
-	ask := Ask{Account: e.name, Returned: c.takeReturnable(now, e), Rate: e.rateNow(now)}
+	ask := Ask{Account: e.name, Returned: c.takeReturnable(now, e), Rate: e.rateNow(now), Standby: e.heldStandby(now)}
 	if c.dirty[e.name] != nil {
 		ask.Need = max(0, len(e.waiting)-e.asked)
 		ask.Ahead = e.wanted(now)
@@ -216,6 +225,8 @@
 			e.asked = max(0, e.asked-ask.Need)
 			if m.at == at && grants != nil {
 				c.counts.Granted += int64(grants[i].Tokens)
+				// What was used since the ask is not part of what it stated.
+				e.standby, e.standbyUntil = max(0, grants[i].Standby-(e.spent-m.spent[i])), at+StandbyTTL
 				settled = append(settled, c.settle(now, at, e, &ask, &grants[i])...)
 			}
 		}
@@ -286,7 +297,7 @@
 	c.sweptAt = now
 	maps.DeleteFunc(c.accounts, func(_ string, e *entry) bool {
 		c.dropExpired(now, e)
-		return len(e.tokens) == 0 && len(e.waiting) == 0 && now-e.rateAt > forgetTime && now >= e.refusedUntil
+		return len(e.tokens) == 0 && len(e.waiting) == 0 && e.heldStandby(now) == 0 && now-e.rateAt > forgetTime && now >= e.refusedUntil
 	})
 }
 
--- a/coordination/quota/doc.go
+++ b/coordination/quota/doc.go
@@ -12,7 +12,12 @@
 //	burst + rate x (w + TokenTTL)
 //
 // with one leader, since a token is used at most TokenTTL after it was asked for. A change of the leader
-// adds at most min(burst, 6) - 0.1 s x rate, also if the former leader still answers for ConfirmTTL.
+// adds at most min(burst, 6) - 0.1 s x rate, also if the former leader still answers for ConfirmTTL, and
+// standby tokens add at most 0.2 s x rate + 8.
+//
+// Standby tokens serve requests while no leader answers. They come on top of the bucket, are limited to a
+// fifth of a second of the rate and 8 for each account over all nodes, and may be spent only while an ask has
+// had no answer for StandbyWait.
 //
 // # Usage
 //
@@ -41,6 +46,12 @@
 	// ConfirmTTL is how long an Allocator answers after the sending of a message that a majority has
 	// responded to. It is less than the minimum election timeout of 450 ms.
 	ConfirmTTL = 400 * time.Millisecond
+	// StandbyTTL is the time from the reading of the node's clock in an ask until the standby tokens of
+	// the grant expire, unless they are renewed by the next one.
+	StandbyTTL = 8 * time.Second
+	// StandbyWait is how long an ask must have had no answer before standby tokens are used. An answer
+	// takes some milliseconds.
+	StandbyWait = 50 * time.Millisecond
 )
 
 // Limit is the limit of an account. With a rate of 0 there is none.
@@ -64,6 +75,8 @@
 	// Rate is the number of requests per second at this node, including those that were refused, as a
 	// mean with the time constant rateMemory.
 	Rate float64
+	// Standby is the number of standby tokens that the node holds.
+	Standby int
 }
 
 // Grant is the answer to an Ask.
@@ -76,4 +89,6 @@
 	// Starting is true if there are no tokens because the leader is new. The account may be within
 	// its limit.
 	Starting bool
+	// Standby is the number of standby tokens that the node may hold from now on.
+	Standby int
 }
--- a/coordination/quota/model_test.go
+++ b/coordination/quota/model_test.go
@@ -36,6 +36,7 @@
 	messages int
 	cached   int // requests that started at once
 	waited   int
+	standby  int // requests that ran on a standby token, of nodes that were not restarted
 	refused  int // over quota, and late of them only after a wait
 	late     int
 	near     map[string][2]int // range of nodes that the callers of an account use
@@ -185,6 +186,10 @@
 		m.after(maxWait, func() {
 			if _, still := n.waiting[t]; still {
 				delete(n.waiting, t)
+				if n.cache.TakeStandby(m.now, t) {
+					m.settled(name, t)
+					return
+				}
 				n.cache.Cancel(t)
 				a.noQuota++
 			}
@@ -364,6 +369,9 @@
 	if m.leader != nil {
 		m.leader.allocator.SetLimits(m.now, next)
 	}
+	for _, n := range m.nodes {
+		n.cache.DropStandby() // the configuration is in force there
+	}
 }
 
 // checkBound fails the test if an account exceeds its bound in any window.
@@ -406,6 +414,9 @@
 	for _, a := range m.accounts {
 		asked, noQuota = asked+a.asked, noQuota+a.noQuota
 	}
-	return fmt.Sprintf("asked=%d run=%d noquota=%d excess=%d late=%d messages=%d cached=%d waited=%d shortfall=%.5f",
-		asked, m.totalRuns(), noQuota, m.refused, m.late, m.messages, m.cached, m.waited, m.shortfall())
+	for _, n := range m.nodes {
+		m.standby += int(n.cache.Counts().Standby)
+	}
+	return fmt.Sprintf("asked=%d run=%d noquota=%d standby=%d excess=%d late=%d messages=%d cached=%d waited=%d shortfall=%.5f",
+		asked, m.totalRuns(), noQuota, m.standby, m.refused, m.late, m.messages, m.cached, m.waited, m.shortfall())
 }
--- a/coordination/quota/script_test.go
+++ b/coordination/quota/script_test.go
@@ -111,6 +111,14 @@
 		if f := s.shortfall(); f >= s.number(word(0)) {
 			s.fatalf("%.5f of the requests within quota were refused", f)
 		}
+	case "expect-standby-above": // COUNT of requests that ran on a standby token
+		n := 0
+		for _, node := range s.nodes {
+			n += int(node.cache.Counts().Standby)
+		}
+		if float64(n) <= s.number(word(0)) {
+			s.fatalf("%d requests on standby tokens", n)
+		}
 	case "expect-late-below": // PART: of the refusals, that came only after a wait
 		if f := float64(s.late) / float64(max(1, s.refused)); f >= s.number(word(0)) {
 			s.fatalf("%.3f of the refused requests have waited", f)
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -344,6 +344,9 @@
 		next.table = table
 	}
 	g.active.Store(next)
+	if old != nil && old.state.Version != s.Version {
+		g.quotas.DropStandby() // they are those of the former limits
+	}
 	oldVersion := uint64(0)
 	if old != nil {
 		oldVersion = old.state.Version
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -36,6 +36,7 @@
 	gauge("quota.granted", func(n quota.CacheCounts) int64 { return n.Granted })
 	gauge("quota.returned", func(n quota.CacheCounts) int64 { return n.Returned })
 	gauge("quota.expired", func(n quota.CacheCounts) int64 { return n.Expired })
+	gauge("quota.standby", func(n quota.CacheCounts) int64 { return n.Standby })
 	return c
 }
 
--- a/protocol/quotas/client.go
+++ b/protocol/quotas/client.go
@@ -69,21 +69,52 @@
 	settled := make(chan struct{})
 	c.waiters[t] = settled
 	c.mu.Unlock()
+	early := min(wait, quota.StandbyWait)
+	if !await(ctx, settled, early) && !c.takeStandby(t) {
+		await(ctx, settled, wait-early)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, still := c.waiters[t]; !still {
+		return *t
+	}
+	delete(c.waiters, t)
+	if c.cache.TakeStandby(c.cfg.Now(), t) {
+		return *t
+	}
+	c.cache.Cancel(t)
+	return quota.Ticket{Verdict: quota.NoQuota, RetryAfter: refusedRetry}
+}
+
+// await reports whether a ticket is settled within some time.
+func await(ctx context.Context, settled <-chan struct{}, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-settled:
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return false
+}
+
+// takeStandby settles a ticket that waits with a standby token, if its ask has had no answer for long enough.
+func (c *Client) takeStandby(t *quota.Ticket) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, still := c.waiters[t]; still {
-		delete(c.waiters, t)
-		c.cache.Cancel(t)
-		return quota.Ticket{Verdict: quota.NoQuota, RetryAfter: refusedRetry}
+	if _, still := c.waiters[t]; !still || !c.cache.TakeStandby(c.cfg.Now(), t) {
+		return !still
 	}
-	return *t
+	delete(c.waiters, t)
+	return true
+}
+
+// DropStandby drops the standby tokens, when limits may have been lowered.
+func (c *Client) DropStandby() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cache.DropStandby()
 }
 
 // TakeCached takes a token that is in the cache.
--- a/protocol/quotas/doc.go
+++ b/protocol/quotas/doc.go
@@ -90,6 +90,7 @@
 	Ahead    uint32
 	Returned uint32
 	Rate     float32
+	Standby  uint32
 }
 
 // answerMessage is the answer to a drawMessage.
@@ -111,12 +112,13 @@
 	Tokens      uint32
 	RetryMicros int64
 	Starting    bool
+	Standby     uint32
 }
 
 func encodeAsks(asks []quota.Ask) []wireAsk {
 	out := make([]wireAsk, 0, len(asks))
 	for _, a := range asks {
-		out = append(out, wireAsk{Account: a.Account, Need: encodeCount(a.Need), Ahead: encodeCount(a.Ahead), Returned: encodeCount(a.Returned), Rate: float32(a.Rate)})
+		out = append(out, wireAsk{Account: a.Account, Need: encodeCount(a.Need), Ahead: encodeCount(a.Ahead), Returned: encodeCount(a.Returned), Rate: float32(a.Rate), Standby: encodeCount(a.Standby)})
 	}
 	return out
 }
@@ -133,7 +135,7 @@
 			rate = 0
 		}
 		out = append(out, quota.Ask{
-			Account: a.Account, Need: decodeCount(a.Need), Ahead: decodeCount(a.Ahead), Returned: decodeCount(a.Returned), Rate: min(max(0, rate), maxRate),
+			Account: a.Account, Need: decodeCount(a.Need), Ahead: decodeCount(a.Ahead), Returned: decodeCount(a.Returned), Rate: min(max(0, rate), maxRate), Standby: decodeCount(a.Standby),
 		})
 	}
 	return out
@@ -144,7 +146,7 @@
 func encodeGrants(grants []quota.Grant) []wireGrant {
 	out := make([]wireGrant, 0, len(grants))
 	for _, g := range grants {
-		out = append(out, wireGrant{Tokens: encodeCount(g.Tokens), RetryMicros: g.RetryAfter.Microseconds(), Starting: g.Starting})
+		out = append(out, wireGrant{Tokens: encodeCount(g.Tokens), RetryMicros: g.RetryAfter.Microseconds(), Starting: g.Starting, Standby: encodeCount(g.Standby)})
 	}
 	return out
 }
@@ -152,7 +154,7 @@
 func decodeGrants(grants []wireGrant) []quota.Grant {
 	out := make([]quota.Grant, 0, len(grants))
 	for _, g := range grants {
-		out = append(out, quota.Grant{Tokens: int(g.Tokens), RetryAfter: time.Duration(g.RetryMicros) * time.Microsecond, Starting: g.Starting})
+		out = append(out, quota.Grant{Tokens: int(g.Tokens), RetryAfter: time.Duration(g.RetryMicros) * time.Microsecond, Starting: g.Starting, Standby: int(g.Standby)})
 	}
 	return out
 }
