quota: an account gets its burst in each window where the limit states one

Cause: with a token bucket alone, an account above its limit got rate x window in each window after the first one, while its limit allows rate x window + burst there. Change: the leader also counts what it grants within the window ([quota] window of the control hosts) and refills the bucket at what the window allows.

--- a/coordination/quota/allocator.go
+++ b/coordination/quota/allocator.go
@@ -164,7 +164,7 @@
 			return false
 		}
 		b.refill(now)
-		return b.level >= b.limit.capacity()
+		return b.level >= b.limit.capacity() && b.window.total == 0
 	})
 }
 
@@ -178,6 +178,8 @@
 	shares   map[uint32]share
 	granted  [grantSlots]float64 // tokens granted in the current slot and those before it
 	slot     time.Duration       // start of the current slot
+	window   window              // used if the limit has one
+	fullRate time.Duration       // from then on the window covers all tokens that were granted within it
 	standby  int                 // sum of the standby tokens of shares
 	// spent are the standby tokens that nodes no longer hold and have perhaps used within the last
 	// spentHold.
@@ -205,16 +207,19 @@
 func newBucket(limit Limit, startedAt time.Duration) *bucket {
 	return &bucket{
 		limit: limit, level: min(limit.capacity(), startTokens) - limit.Rate*startDeficit.Seconds(), filledAt: startedAt,
-		shares: map[uint32]share{}, slot: startedAt,
+		shares: map[uint32]share{}, slot: startedAt, window: window{begin: startedAt}, fullRate: startedAt + limit.Window + TokenTTL,
 	}
 }
 
 // refill adds the tokens since the last call.
 func (b *bucket) refill(now time.Duration) {
 	dt := max(0, now-b.filledAt)
-	b.level = min(b.limit.capacity(), b.level+b.limit.Rate*dt.Seconds())
+	b.level = min(b.limit.capacity(), b.level+b.rate()*dt.Seconds())
 	b.demand *= decay(dt)
 	b.filledAt = max(now, b.filledAt)
+	if b.limit.Window > 0 {
+		b.window.advance(now, b.limit.Window)
+	}
 	for n := 0; now-b.slot >= grantSlot; n++ {
 		if n == grantSlots {
 			b.slot = now
@@ -240,20 +245,38 @@
 	if returned <= 0 {
 		return
 	}
-	most := min(b.limit.capacity(), b.limit.capacity()+b.limit.Rate*TokenTTL.Seconds()-outstanding+returned)
+	most := min(b.limit.capacity(), b.limit.capacity()+b.rate()*TokenTTL.Seconds()-outstanding+returned)
 	b.level = max(b.level, min(b.level+returned, most))
+	b.window.remove(returned)
+}
+
+// rate returns the tokens per second with which the bucket is refilled. A new leader does not know what was
+// granted in the last window and adds no part of the burst.
+func (b *bucket) rate() float64 {
+	if b.limit.Window <= 0 || b.filledAt < b.fullRate {
+		return b.limit.Rate
+	}
+	return b.limit.most() / b.limit.Window.Seconds()
+}
+
+// available returns the number of tokens that may be granted now.
+func (b *bucket) available() float64 {
+	if b.limit.Window <= 0 {
+		return b.level
+	}
+	return min(b.level, b.limit.most()-b.window.total)
 }
 
 // draw takes tokens from the bucket for an ask.
 func (b *bucket) draw(now time.Duration, node uint32, ask *Ask) Grant {
 	s := b.updateShare(now, node, ask.Rate)
-	level := max(0, int(b.level))
+	level := max(0, int(b.available()))
 	n := 0
 	hot := b.demand > hotRatio*b.limit.Rate
 	if hot {
 		b.earn(now, &s)
 		most := int(s.credit)
-		if most == 0 && b.level >= b.unsharedLevel() {
+		if most == 0 && b.available() >= b.unsharedLevel() {
 			most = 1 // tokens that no node has the credit for must not overflow
 		}
 		n = min(ask.Need+ask.Ahead, most, level)
@@ -267,9 +290,12 @@
 	b.shares[node] = s
 	b.level -= float64(n)
 	b.granted[0] += float64(n)
+	if b.limit.Window > 0 {
+		b.window.add(float64(n))
+	}
 	g := Grant{Tokens: n}
-	if n < ask.Need || n < ask.Need+ask.Ahead && (hot || b.level < 1) {
-		g.RetryAfter = b.retryAfter(&s, hot)
+	if n < ask.Need || n < ask.Need+ask.Ahead && (hot || b.available() < 1) {
+		g.RetryAfter = b.retryAfter(now, &s, hot)
 	}
 	return g
 }
@@ -302,7 +328,7 @@
 	if b.demand <= 0 {
 		return 0
 	}
-	return max(0, b.limit.Rate+(b.level-b.credits)/drainTime.Seconds()) * min(1, float64(s.rate)/b.demand)
+	return max(0, b.rate()+(b.available()-b.credits)/drainTime.Seconds()) * min(1, float64(s.rate)/b.demand)
 }
 
 // unsharedLevel returns the level from which a hot account's token goes to the first node that asks.
@@ -314,8 +340,11 @@
 }
 
 // retryAfter returns the time until a node can expect a token.
-func (b *bucket) retryAfter(s *share, hot bool) time.Duration {
-	wait := (1 - b.level) / b.limit.Rate
+func (b *bucket) retryAfter(now time.Duration, s *share, hot bool) time.Duration {
+	wait := (1 - b.level) / b.rate()
+	if b.limit.Window > 0 {
+		wait = max(wait, b.window.timeTo(now, b.limit.Window, b.limit.most()-1).Seconds())
+	}
 	if hot {
 		own := (1 - float64(s.credit)) / max(b.inflow(s), 1e-3)
 		if b.limit.capacity() < sharedCapacity {
--- a/coordination/quota/doc.go
+++ b/coordination/quota/doc.go
@@ -11,7 +11,13 @@
 //
 //	burst + rate x (w + TokenTTL)
 //
-// with one leader, since a token is used at most TokenTTL after it was asked for. A change of the leader
+// with one leader, since a token is used at most TokenTTL after it was asked for. Where the limit states a
+// window, an account whose demand stays above its rate gets the burst in each window and not only once:
+//
+//	(rate x window + burst) x 1.04 + 6
+//
+// in every window, and the tokens of TokenTTL. This is the most that the limit allows in each window. The
+// bucket is then refilled with burst / window beside the rate. A change of the leader
 // adds at most min(burst, 6) - 0.1 s x rate, also if the former leader still answers for ConfirmTTL, and
 // standby tokens add at most 0.2 s x rate + 8.
 //
@@ -58,6 +64,9 @@
 type Limit struct {
 	// Rate is in requests per second over all nodes, and Burst the number of requests beyond it.
 	Rate, Burst float64
+	// Window is the time in which rate x Window + Burst requests may run, 0 if only Rate and Burst limit
+	// them.
+	Window time.Duration
 }
 
 // capacity returns the size of the bucket. One token must fit, or no request could ever run.
--- a/coordination/quota/model_test.go
+++ b/coordination/quota/model_test.go
@@ -24,6 +24,7 @@
 	t        *testing.T
 	rand     *rand.Rand
 	now      time.Duration
+	loadAt   time.Duration // start of the load
 	events   eventQueue
 	limits   map[string]quota.Limit
 	names    []string                 // accounts
@@ -150,6 +151,7 @@
 
 // startLoad starts the requests of all accounts. Each starts at a random node of its account.
 func (m *model) startLoad() {
+	m.loadAt = m.now
 	for _, name := range m.names {
 		m.next(name)
 	}
@@ -360,7 +362,7 @@
 	for n, l := range m.limits {
 		if n == name {
 			m.load[name] /= factor // the callers go on as before
-			l = quota.Limit{Rate: l.Rate * factor, Burst: l.Burst * factor}
+			l = quota.Limit{Rate: l.Rate * factor, Burst: l.Burst * factor, Window: l.Window}
 		}
 		next[n] = l
 	}
@@ -397,6 +399,21 @@
 	}
 }
 
+// checkServed fails the test if an account above its limit has got less than the limit in a window, the
+// first one after the start of the load apart.
+func (m *model) checkServed(name string) {
+	m.t.Helper()
+	limit, runs := m.limits[name], m.accounts[name].runs
+	want := limit.Rate*window.Seconds() + limit.Burst
+	for end := m.loadAt + 2*window; end < m.now; end += window / 4 {
+		first, _ := slices.BinarySearch(runs, end-window)
+		last, _ := slices.BinarySearch(runs, end)
+		if float64(last-first) < want-1 {
+			m.t.Fatalf("%s: %d requests in the window before %s, the limit is %.1f", name, last-first, end, want)
+		}
+	}
+}
+
 // shortfall returns the part of the requests within quota that were refused: what one bucket for all nodes
 // would have let through.
 func (m *model) shortfall() float64 {
--- a/coordination/quota/script_test.go
+++ b/coordination/quota/script_test.go
@@ -25,9 +25,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for seed := range uint64(2) {
+		for seed := range uint64(4) {
 			t.Run(fmt.Sprint(strings.TrimSuffix(filepath.Base(f), ".txt"), seed), func(t *testing.T) {
-				s := &script{t: t, seed: seed}
+				s := &script{t: t, seed: seed / 2, windowed: seed%2 == 1}
 				for i, line := range strings.Split(string(text), "\n") {
 					s.line = i + 1
 					line, _, _ = strings.Cut(line, "#")
@@ -48,6 +48,8 @@
 	t    *testing.T
 	seed uint64
 	line int
+	// windowed is true if the limits state the window of the bound.
+	windowed bool
 }
 
 func (s *script) fatalf(format string, args ...any) {
@@ -81,7 +83,7 @@
 	}
 	switch cmd {
 	case "deployment": // NODES ACCOUNTS RATE: accounts of different sizes, the largest one with RATE
-		s.model = newModel(s.t, s.seed, int(s.number(word(0))), limits(int(s.number(word(1))), s.number(word(2))))
+		s.model = newModel(s.t, s.seed, int(s.number(word(0))), s.limits(int(s.number(word(1))), s.number(word(2))))
 	case "load": // ACCOUNT FACTOR: demand as a multiple of the rate
 		s.load[word(0)] = s.number(word(1))
 	case "start":
@@ -107,6 +109,10 @@
 		}
 	case "lower": // ACCOUNT FACTOR
 		s.lower(word(0), s.number(word(1)))
+	case "expect-window-served": // ACCOUNT: it has got rate x window + burst in each window since the first one
+		if s.windowed {
+			s.checkServed(word(0))
+		}
 	case "expect-refused-below": // PART: of the requests within quota
 		if f := s.shortfall(); f >= s.number(word(0)) {
 			s.fatalf("%.5f of the requests within quota were refused", f)
@@ -138,11 +144,15 @@
 
 // limits returns accounts of very different sizes: a few large ones, and many with less than one request a
 // second over all nodes.
-func limits(n int, largest float64) map[string]quota.Limit {
+func (s *script) limits(n int, largest float64) map[string]quota.Limit {
 	m := make(map[string]quota.Limit)
 	for i := range n {
 		rate := largest / math.Pow(float64(i+1), 1.2)
-		m[fmt.Sprintf("a%02d", i)] = quota.Limit{Rate: rate, Burst: rate}
+		l := quota.Limit{Rate: rate, Burst: rate}
+		if s.windowed {
+			l.Window = window
+		}
+		m[fmt.Sprintf("a%02d", i)] = l
 	}
 	return m
 }
--- a/coordination/quota/standby.go
+++ b/coordination/quota/standby.go
@@ -15,11 +15,21 @@
 	standbyHold = StandbyTTL + spentHold
 )
 
+// mostStandby returns the number of standby tokens over all nodes. A limit with a window uses more of what
+// is allowed beyond it, so it has half of the part that grows with the rate.
+func (l Limit) mostStandby() int {
+	length := standbyTime
+	if l.Window > 0 {
+		length /= 2
+	}
+	return int(l.Rate*length.Seconds()) + standbyTokens
+}
+
 // drawStandby returns the standby tokens that a node may hold, of those that it holds now and new ones. The
 // share of the node has been updated.
 func (b *bucket) drawStandby(now, startedAt time.Duration, node uint32, held int) int {
 	s := b.shares[node]
-	most := int(b.limit.Rate*standbyTime.Seconds()) + standbyTokens
+	most := b.limit.mostStandby()
 	if now >= b.spentUntil {
 		b.spent = 0
 	}
