capacity: client accounts share an upstream that is at its limit

At an upstream with too little capacity the order within a priority was by deadline alone, so the account that sent most got most, and the refused request was the newcomer, whatever its account had got before.

Request.Account names the client account. While requests of a priority are refused, accounts with less admitted work go first within it, and the request that can no longer be in time is therefore one of the account with most work. A full queue gives up its last request for one that goes before it.

Requests without an account are ordered as before.

--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -34,6 +34,7 @@
 	failureRate        float64
 	failureRateAt      time.Time
 	integrity          integrity.Record
+	shares             shareTable
 }
 
 // Permit is the right to use a slot until Release.
@@ -46,7 +47,7 @@
 
 // New returns a closed controller that reads the time from now.
 func New(now func() time.Time) *Controller {
-	return &Controller{now: now, hostSlowdown: 1, upstreamSlowdown: 1, permits: make(map[*Permit]struct{})}
+	return &Controller{now: now, hostSlowdown: 1, upstreamSlowdown: 1, permits: make(map[*Permit]struct{}), shares: newShareTable()}
 }
 
 // Open admits requests within the limits of the upstream. It is called again when they
@@ -199,12 +200,17 @@
 func (c *Controller) Acquire(ctx context.Context, req *Request) (*Permit, Rejection) {
 	c.mu.Lock()
 	now := c.now()
-	c.sortQueue(now)
-	if r := c.rejection(now, req); r.Reason != Admitted {
+	w := &waiter{req: req, result: make(chan Rejection, 1)}
+	c.shares.ask(req, now)
+	refusing := c.shares.refuses(req.Priority, now)
+	r := c.tryQueue(w, now)
+	if r.Reason == Full && !refusing && req.Account != "" {
+		r = c.tryQueue(w, now) // from now on, the order is that of the accounts
+	}
+	if r.Reason != Admitted {
 		c.mu.Unlock()
 		return nil, r
 	}
-	w := &waiter{req: req, result: make(chan Rejection, 1)}
 	c.enqueue(w, now)
 	c.processQueue(now)
 	c.mu.Unlock()
@@ -237,19 +243,27 @@
 	return w.outcome(<-w.result)
 }
 
+// tryQueue sorts the queue and decides whether a new request is rejected.
+func (c *Controller) tryQueue(w *waiter, now time.Time) Rejection {
+	c.sortQueue(now)
+	c.shares.setLevel(w, c.queue, now)
+	return c.rejection(now, w)
+}
+
 // rejection decides whether a new request is rejected before it enters the queue.
-func (c *Controller) rejection(now time.Time, req *Request) Rejection {
+func (c *Controller) rejection(now time.Time, w *waiter) Rejection {
+	req := w.req
 	switch {
 	case !c.open || c.upstream.Slots == 0:
 		return Rejection{Reason: Closed}
-	case len(c.queue) >= maxQueueLength:
+	case len(c.queue) >= maxQueueLength && !c.displaceLast(w, now):
 		return Rejection{Reason: Full, RetryAfter: c.drainTime(len(c.queue), now)}
 	}
 	passedOver := c.passesOver(req, now)
 	if passedOver && (!req.Trial || !c.integrity.Estimate().TrialDue(now)) {
 		return Rejection{Reason: Reserved}
 	}
-	ahead := c.position(req, now)
+	ahead := c.position(w, now)
 	wait, earliest := time.Duration(0), time.Duration(0)
 	if c.running >= c.limit {
 		wait, earliest = c.drainTime(ahead, now), c.earliestStart(ahead, now)
@@ -267,6 +281,7 @@
 		return c.rateRejection(now)
 	}
 	if wait > 0 && c.tooLate(now, finishWithMargin(wait), finishWithMargin(earliest), req) {
+		c.shares.refuse(req, now)
 		return Rejection{Reason: Full, RetryAfter: earliest}
 	}
 	if passedOver && !c.integrity.TakeTrial(now) {
@@ -335,6 +350,7 @@
 
 func (c *Controller) admit(now time.Time, w *waiter) {
 	c.running++
+	c.shares.admit(w.req, now)
 	w.permit = &Permit{c: c, expectedEnd: now.Add(time.Duration(float64(w.req.ServiceTime) * c.currentHostSlowdown(now) * c.currentUpstreamSlowdown(now)))}
 	c.permits[w.permit] = struct{}{}
 	// Admissions to a warm upstream count too, because it may become known later that
--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -15,6 +15,10 @@
 // sooner is rejected with Slower, so that its entry node can choose that upstream; the
 // entry node states the expected cost there in Request.AlternativeCost.
 //
+// Requests that have a client account share the upstream: while requests of a priority are refused, those
+// of accounts with less recent work go first within it, and an account that gets far less of what it asks
+// for than the mean always goes first.
+//
 // A cold upstream gets requests from a token bucket. After a loss of power a whole deployment
 // returns, and more is asked than all cold upstreams together may take: a request that can still meet its objective waits for its turn by priority
 // and deadline, so that callers that were refused before go first. The others are rejected at
@@ -153,4 +157,8 @@
 	// request may test whether this upstream is well-formed again.
 	SoundAlternative, Trial bool
 	SoundExtraCost          float64
+	// Account is the name of the client account, empty without one.
+	Account string
+	// Returning is true if the caller was refused and returns at the time that the refusal named.
+	Returning bool
 }
--- a/coordination/capacity/load_test.go
+++ b/coordination/capacity/load_test.go
@@ -18,6 +18,7 @@
 	priority    int
 	objective   time.Duration
 	deadline    time.Duration
+	accounts    []string // each request is of one of them
 }
 
 // outcome counts the results of one request class.
@@ -41,11 +42,15 @@
 		for i, class := range classes {
 			for at := time.Duration(0); at < span; at += time.Duration(rng.ExpFloat64() / class.perSecond * float64(time.Second)) {
 				took := time.Duration(float64(class.serviceTime) * max(0.3, 1+0.3*rng.NormFloat64()))
+				account := ""
+				if len(class.accounts) > 0 {
+					account = class.accounts[rng.IntN(len(class.accounts))]
+				}
 				callers.Go(func() {
 					time.Sleep(at)
 					start := time.Now()
 					permit, _ := c.Acquire(context.Background(), &capacity.Request{
-						ServiceTime: class.serviceTime, Priority: class.priority, Objective: start.Add(class.objective), Deadline: start.Add(class.deadline),
+						ServiceTime: class.serviceTime, Priority: class.priority, Objective: start.Add(class.objective), Deadline: start.Add(class.deadline), Account: account,
 					})
 					if permit != nil {
 						time.Sleep(took)
--- a/coordination/capacity/queue.go
+++ b/coordination/capacity/queue.go
@@ -12,6 +12,7 @@
 	req    *Request
 	permit *Permit        // set before Admitted is sent to result
 	result chan Rejection // buffered, so that the sender does not block
+	level  int            // place of the client account among equal requests, see shareTable.level
 }
 
 func (w *waiter) outcome(r Rejection) (*Permit, Rejection) {
@@ -41,22 +42,25 @@
 	return cost > req.AlternativeCost+rerouteMargin
 }
 
-// position returns the number of queued requests that go before req.
-func (c *Controller) position(req *Request, now time.Time) int {
-	return sort.Search(len(c.queue), func(i int) bool { return c.before(req, c.queue[i].req, now) })
+// position returns the number of queued requests that go before w.
+func (c *Controller) position(w *waiter, now time.Time) int {
+	return sort.Search(len(c.queue), func(i int) bool { return c.before(w, c.queue[i], now) })
 }
 
 // before orders the queue: requests that can still meet their objective come first, then
-// the order is by priority and by deadline. Requests that miss their objective in any case
-// come last, so that they do not delay others past theirs.
-func (c *Controller) before(a, b *Request, now time.Time) bool {
-	if late := c.missesObjective(a, now); late != c.missesObjective(b, now) {
+// the order is by priority, by the recent work of the client account and by deadline. Requests that
+// miss their objective in any case come last, so that they do not delay others past theirs.
+func (c *Controller) before(a, b *waiter, now time.Time) bool {
+	if late := c.missesObjective(a.req, now); late != c.missesObjective(b.req, now) {
 		return !late
 	}
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
+	switch {
+	case a.req.Priority != b.req.Priority:
+		return a.req.Priority < b.req.Priority
+	case a.level != b.level:
+		return a.level < b.level
 	}
-	return a.Deadline.Before(b.Deadline)
+	return a.req.Deadline.Before(b.req.Deadline)
 }
 
 // missesObjective reports whether a request would miss its objective if it started now on
@@ -65,9 +69,13 @@
 	return now.Add(time.Duration(float64(req.ServiceTime) * c.currentUpstreamSlowdown(now))).After(req.Objective)
 }
 
-// sortQueue restores the order of the queue, in which requests become late over time.
-func (c *Controller) sortQueue(now time.Time) {
-	sort.SliceStable(c.queue, func(i, j int) bool { return c.before(c.queue[i].req, c.queue[j].req, now) })
+// sortQueue restores the order of the queue, in which requests become late over time and client
+// accounts get work.
+func (c *Controller) sortQueue(now time.Time) { c.sortWaiters(c.queue, now) }
+
+func (c *Controller) sortWaiters(list []*waiter, now time.Time) {
+	c.shares.setLevels(list, now)
+	sort.SliceStable(list, func(i, j int) bool { return c.before(list[i], list[j], now) })
 }
 
 // drainTime returns how long the slots need to finish the running requests and the first
@@ -117,12 +125,29 @@
 }
 
 func (c *Controller) enqueue(w *waiter, now time.Time) {
-	i := c.position(w.req, now)
+	i := c.position(w, now)
 	c.queue = append(c.queue, nil)
 	copy(c.queue[i+1:], c.queue[i:])
 	c.queue[i] = w
 }
 
+// queueIsLong reports whether more requests are queued than the limit, so that each one that is late
+// makes others late.
+func (c *Controller) queueIsLong() bool { return len(c.queue) > c.limit }
+
+// displaceLast rejects the last request of a full queue if a new request of a client account goes before
+// it, and reports whether it did.
+func (c *Controller) displaceLast(w *waiter, now time.Time) bool {
+	last := len(c.queue) - 1
+	if w.req.Account == "" || !c.before(w, c.queue[last], now) {
+		return false
+	}
+	c.queue[last].result <- Rejection{Reason: Full, RetryAfter: c.drainTime(last, now)}
+	c.queue[last] = nil
+	c.queue = c.queue[:last]
+	return true
+}
+
 // processQueue admits queued requests while slots are free. A request that is better off to
 // wait for its host to recover stays in the queue, and others may overtake it.
 func (c *Controller) processQueue(now time.Time) {
@@ -152,11 +177,14 @@
 			}
 			c.admit(now, w)
 			w.result <- Rejection{Reason: Admitted}
+			if w.req.Account != "" {
+				c.sortWaiters(c.queue[i+1:], now) // the account has more work now
+			}
 		}
 	}
 	clear(c.queue[len(kept):])
 	c.queue = kept
-	if c.running >= c.limit || len(c.queue) > c.limit || c.rateWait(len(c.queue), now) > 0 {
+	if c.running >= c.limit || c.queueIsLong() || c.rateWait(len(c.queue), now) > 0 {
 		c.rejectLate(now)
 	}
 }
@@ -166,7 +194,7 @@
 // deadline, except when more requests are queued than the limit: each late response would
 // then make another one late, so a request that would miss its objective is rejected.
 func (c *Controller) tooLate(now time.Time, finish, earliest time.Duration, req *Request) bool {
-	return now.Add(earliest).After(req.Deadline) || len(c.queue) > c.limit && now.Add(finish).After(req.Objective)
+	return now.Add(earliest).After(req.Deadline) || c.queueIsLong() && now.Add(finish).After(req.Objective)
 }
 
 // rejectLate rejects the queued requests that can no longer finish in time, because more
@@ -182,6 +210,7 @@
 			i++
 			continue
 		}
+		c.shares.refuse(w.req, now)
 		w.result <- Rejection{Reason: Full, RetryAfter: earliest}
 		c.queue = append(c.queue[:i], c.queue[i+1:]...)
 	}
--- a/coordination/capacity/script_test.go
+++ b/coordination/capacity/script_test.go
@@ -148,6 +148,7 @@
 		ServiceTime: s.time(o["work"], 80*time.Millisecond), Priority: int(s.number(o["priority"], 0)),
 		Objective: now.Add(s.time(o["objective"], 300*time.Millisecond)),
 		Deadline:  now.Add(s.time(o["deadline"], time.Second)), AlternativeCost: s.number(o["elsewhere"], 0),
+		Account: o["account"],
 	}
 	go func() {
 		permit, rejection := s.controller.Acquire(ctx, req)
