capacity, gateway: refused callers return to a slot that is promised to them

Refusals of one moment named the same time, callers returned together, stood behind new requests and were refused again: in the start of a whole deployment 779 requests were refused, came back and were refused again.

Each refusal now names the next slot that is not promised yet (Controller.promise): one line of promises for each priority, spaced by the service time over the limit or by the rate of a cold or limited upstream, and by what more urgent requests take. A caller that would wait for more than a third of its time takes no slot. The entry node remembers the fingerprint and the named time (8192 entries, until 0.5 s after it) and marks the request that returns (hop flag Returning), which goes before new ones of its priority. It passes on the first time for which the caller can wait, and later attempts carry Promised, so that one refusal takes one slot. The flags are a field at the end of the header, omitted without flags. Counters returned and returned_refused.

--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -35,6 +35,7 @@
 	failureRateAt      time.Time
 	integrity          integrity.Record
 	shares             shareTable
+	promises           promiseTable
 }
 
 // Permit is the right to use a slot until Release.
@@ -47,7 +48,7 @@
 
 // New returns a closed controller that reads the time from now.
 func New(now func() time.Time) *Controller {
-	return &Controller{now: now, hostSlowdown: 1, upstreamSlowdown: 1, permits: make(map[*Permit]struct{}), shares: newShareTable()}
+	return &Controller{now: now, hostSlowdown: 1, upstreamSlowdown: 1, permits: make(map[*Permit]struct{}), shares: newShareTable(), promises: newPromiseTable()}
 }
 
 // Open admits requests within the limits of the upstream. It is called again when they
@@ -208,6 +209,7 @@
 		r = c.tryQueue(w, now) // from now on, the order is that of the accounts
 	}
 	if r.Reason != Admitted {
+		r.RetryAfter = c.promise(r.RetryAfter, req, now)
 		c.mu.Unlock()
 		return nil, r
 	}
@@ -350,6 +352,7 @@
 
 func (c *Controller) admit(now time.Time, w *waiter) {
 	c.running++
+	c.promises.admit(w.req, c.slotInterval(w.req, now, now), now)
 	c.shares.admit(w.req, now)
 	w.permit = &Permit{c: c, expectedEnd: now.Add(time.Duration(float64(w.req.ServiceTime) * c.currentHostSlowdown(now) * c.currentUpstreamSlowdown(now)))}
 	c.permits[w.permit] = struct{}{}
@@ -366,8 +369,9 @@
 	p.once.Do(func() {
 		p.c.mu.Lock()
 		defer p.c.mu.Unlock()
+		now := p.c.now()
 		p.c.running--
 		delete(p.c.permits, p)
-		p.c.processQueue(p.c.now())
+		p.c.processQueue(now)
 	})
 }
--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -19,6 +19,9 @@
 // of accounts with less recent work go first within it, and an account that gets far less of what it asks
 // for than the mean always goes first.
 //
+// A rejection names the time at which there will be a slot. It is promised to one caller only: the next
+// one gets a later time. A caller that returns at its time goes before new requests of its priority.
+//
 // A cold upstream gets requests from a token bucket. After a loss of power a whole deployment
 // returns, and more is asked than all cold upstreams together may take: a request that can still meet its objective waits for its turn by priority
 // and deadline, so that callers that were refused before go first. The others are rejected at
@@ -159,6 +162,7 @@
 	SoundExtraCost          float64
 	// Account is the name of the client account, empty without one.
 	Account string
-	// Returning is true if the caller was refused and returns at the time that the refusal named.
-	Returning bool
+	// Returning is true if the caller was refused and returns at the time that the refusal named. Promised
+	// is true if another upstream has refused the request and named a time to return.
+	Returning, Promised bool
 }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -98,7 +98,7 @@
 	permit, rejection := g.admission.Acquire(ctx, &capacity.Request{
 		ServiceTime: req.meta.ServiceTime, Priority: req.meta.Priority, Repeatable: req.meta.Kind == routes.Safe, Objective: req.objective, Deadline: req.deadline, AlternativeCost: req.meta.AlternativeCost,
 		SoundAlternative: req.meta.SoundAlternative, SoundExtraCost: req.meta.SoundExtraCost, Trial: req.meta.Trial,
-		Account: req.meta.Account,
+		Account: req.meta.Account, Returning: req.meta.Returning, Promised: req.meta.Promised,
 	})
 	if permit == nil {
 		load := g.admission.Load()
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -104,6 +104,9 @@
 	}
 	req.bodyReadAt = time.Now()
 	req.fingerprint = req.computeFingerprint()
+	if req.returning = g.returns.take(req.fingerprint, req.bodyReadAt); req.returning {
+		g.stats.count("returned")
+	}
 	req.serve(w)
 }
 
@@ -274,7 +277,8 @@
 	s.recordAttempt(a, now)
 	switch {
 	case res.meta.RejectReason != "":
-		s.rejectReason, s.retryAfter = res.meta.RejectReason, earliestRetryAfter(s.retryAfter, res.meta.RetryAfter)
+		s.rejectReason = res.meta.RejectReason
+		s.nameTime(res.meta.RetryAfter)
 		s.attempts--
 		switch res.meta.RejectReason {
 		case reasonSlower, reasonReserved:
@@ -324,14 +328,6 @@
 	}
 }
 
-// earliestRetryAfter returns the shorter of two delays, where 0 means unknown.
-func earliestRetryAfter(current, next time.Duration) time.Duration {
-	if current == 0 || next > 0 && next < current {
-		return next
-	}
-	return current
-}
-
 // takeRetry reports whether the request may be sent once more, and takes that attempt
 // from the retry budget.
 func (s *requestState) takeRetry() bool {
@@ -391,6 +387,7 @@
 		ExchangeID: exchangeID{process: process{node: req.g.cfg.Name, epoch: req.g.epoch}, seq: req.g.exchangeSeq.Add(1)}.String(),
 		Service:    req.service, Route: req.route.Name, Kind: req.route.Kind, CallerService: req.g.upstream.current().Service,
 		Priority: req.priority(), Account: req.accountName(), Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
+		Returning: req.returning, Promised: s.promised(now),
 		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint), Integrity: encodeIntegrity(req.g.balancer.Integrity(a.node.Name), now),
 	}
 	if s.slowerRejections < maxSlowerRejections {
--- a/gateway/forget.go
+++ b/gateway/forget.go
@@ -34,6 +34,7 @@
 			g.forgetRemovedRoutes(previous, current)
 			previous = current
 			g.outcomes.prune(now)
+			g.returns.prune(now)
 			g.updateGauges()
 			g.updateMemoryGauges()
 		}
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -32,6 +32,10 @@
 		if reason == "" {
 			reason = mulberrylink.ReasonNoUpstream.String()
 		}
+		g.returns.record(req.fingerprint, retryAfter, time.Now())
+		if req.returning {
+			g.stats.count("returned_refused")
+		}
 		g.writeError(s.w, req.httpReq, req, http.StatusServiceUnavailable, mulberrylink.NotRun, reason, retryAfter)
 	}
 	return true
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -63,6 +63,9 @@
 	Integrity Integrity
 	// Account is the name of the client account, empty without one. It is sent in the encoding of a URL query.
 	Account string
+	// Returning is true if the caller was refused and returns at the time that the refusal named. Promised
+	// is true if another upstream has refused the request and named a time to return.
+	Returning, Promised bool
 }
 
 // Integrity is the estimate of package integrity for an upstream. The zero value is that of
@@ -98,11 +101,11 @@
 	return strconv.FormatUint(uint64(s.Stage), 10) + "," + formatMillis(s.Remaining)
 }
 
-// requestFields is the number of fields of a request. The integrity and the account follow them, up to
-// the last one that there is.
+// requestFields is the number of fields of a request. The integrity, the account and the flags follow
+// them, up to the last one that there is.
 const (
 	requestFields    = 10
-	maxRequestFields = requestFields + 2
+	maxRequestFields = requestFields + 3
 )
 
 // assumedMark follows a service time that is assumed instead of observed.
@@ -119,16 +122,18 @@
 		formatMillis(m.Objective) + "," + formatMillis(m.Timeout), serviceTime,
 		m.encodeAlternative(), encodeFingerprint(m.Fingerprint, m.Suspicion),
 	}
-	switch {
-	case m.Integrity != (Integrity{}):
-		fields = append(fields, m.Integrity.encode())
-	case m.Account != "":
-		fields = append(fields, "")
+	optional := [maxRequestFields - requestFields]string{"", url.QueryEscape(m.Account), ""}
+	if m.Integrity != (Integrity{}) {
+		optional[0] = m.Integrity.encode()
 	}
-	if m.Account != "" {
-		fields = append(fields, url.QueryEscape(m.Account))
+	if flags := encodeFlags(m.Returning, m.Promised); flags != 0 {
+		optional[2] = strconv.Itoa(flags)
 	}
-	return strings.Join(fields, ";")
+	n := len(optional)
+	for n > 0 && optional[n-1] == "" {
+		n--
+	}
+	return strings.Join(append(fields, optional[:n]...), ";")
 }
 
 // encodeAlternative encodes the cost of the alternative, followed by what decides about the reserve if
@@ -190,6 +195,10 @@
 	if len(fields) > requestFields+1 {
 		meta.Account = p.text(fields[requestFields+1])
 	}
+	if len(fields) > requestFields+2 {
+		flags := p.int(fields[requestFields+2])
+		meta.Returning, meta.Promised = flags&1 != 0, flags&2 != 0
+	}
 	return meta, errors.Wrap(p.err, "parse hop header of a request")
 }
 
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -35,6 +35,17 @@
 	gotRequest, err = hop.ParseRequestMeta(request.Encode())
 	is.NoErr(err)
 	is.Equal(gotRequest, request)
+	withoutFlags := request.Encode()
+	request.Promised = true
+	gotRequest, err = hop.ParseRequestMeta(request.Encode())
+	is.NoErr(err)
+	is.Equal(gotRequest, request)
+	request.Account, request.Returning = "", true
+	gotRequest, err = hop.ParseRequestMeta(request.Encode())
+	is.NoErr(err)
+	is.Equal(gotRequest, request)
+	request.Account, request.Returning, request.Promised = "north; \"west\", 100%", false, false
+	is.Equal(request.Encode(), withoutFlags)
 	request.SoundAlternative, request.Trial, request.SoundExtraCost = true, true, -0.125
 	request.Integrity.Required, request.Integrity.Missing, request.Integrity.Relapses = 126, 80, 2
 	request.Integrity.TrialIn, request.Integrity.ReservedFor = 700*time.Millisecond, 90*time.Second
