--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -209,7 +209,7 @@
 		r = c.tryQueue(w, now) // from now on, the order is that of the accounts
 	}
 	if r.Reason != Admitted {
-		r.RetryAfter = c.promise(r.RetryAfter, req, now)
+		r.RetryAfter = c.promise(r.RetryAfter, w, now)
 		c.mu.Unlock()
 		return nil, r
 	}
@@ -352,7 +352,7 @@
 
 func (c *Controller) admit(now time.Time, w *waiter) {
 	c.running++
-	c.promises.admit(w.req, c.slotInterval(w.req, now, now), now)
+	c.promises.admit(w, c.slotInterval(w.req, now, now), now)
 	c.shares.admit(w.req, now)
 	w.permit = &Permit{c: c, expectedEnd: now.Add(time.Duration(float64(w.req.ServiceTime) * c.currentHostSlowdown(now) * c.currentUpstreamSlowdown(now)))}
 	c.permits[w.permit] = struct{}{}
--- a/coordination/capacity/promises.go
+++ b/coordination/capacity/promises.go
@@ -17,11 +17,19 @@
 )
 
 // precedence is what requests have in common that take a slot before those of a higher precedence.
-type precedence struct{ priority int }
+type precedence struct {
+	priority int
+	level    int // of the client account
+}
 
-func precedenceOf(req *Request) precedence { return precedence{req.Priority} }
+func precedenceOf(w *waiter) precedence { return precedence{w.req.Priority, w.level} }
 
-func (p precedence) before(other precedence) bool { return p.priority < other.priority }
+func (p precedence) before(other precedence) bool {
+	if p.priority != other.priority {
+		return p.priority < other.priority
+	}
+	return p.level < other.level
+}
 
 // decayingSum is a sum of durations in seconds that decays with takenDecay.
 type decayingSum struct {
@@ -44,8 +52,8 @@
 
 func newPromiseTable() promiseTable { return promiseTable{lines: make(map[precedence]*promiseLine)} }
 
-func (t *promiseTable) line(req *Request) *promiseLine {
-	p := precedenceOf(req)
+func (t *promiseTable) line(w *waiter) *promiseLine {
+	p := precedenceOf(w)
 	l := t.lines[p]
 	if l == nil {
 		if len(t.lines) >= maxPrecedences {
@@ -58,16 +66,16 @@
 }
 
 // admit records that a request takes the capacity of interval.
-func (t *promiseTable) admit(req *Request, interval time.Duration, now time.Time) {
-	l := t.line(req)
+func (t *promiseTable) admit(w *waiter, interval time.Duration, now time.Time) {
+	l := t.line(w)
 	l.taken = decayingSum{sum: l.taken.at(now) + interval.Seconds(), updatedAt: now}
 }
 
-// before returns the share of the capacity that requests take that go before req, and the last time that was
+// before returns the share of the capacity that requests take that go before w, and the last time that was
 // promised to a caller of these or of the same precedence. What was promised to less urgent callers
 // does not count: a request that is more urgent goes before them.
-func (t *promiseTable) before(req *Request, now time.Time) (taken float64, until time.Time) {
-	own := precedenceOf(req)
+func (t *promiseTable) before(w *waiter, now time.Time) (taken float64, until time.Time) {
+	own := precedenceOf(w)
 	for p, l := range t.lines {
 		if p.before(own) {
 			taken += l.taken.at(now)
@@ -83,25 +91,25 @@
 // earliest. That slot may be promised already: each caller gets the next one that is not, and more urgent
 // requests take their share of the slots. Zero, an unknown time, stays unknown. A caller that would not wait
 // so long, or has a promise of another upstream, takes no slot.
-func (c *Controller) promise(earliest time.Duration, req *Request, now time.Time) time.Duration {
-	if earliest <= 0 || req.Promised {
+func (c *Controller) promise(earliest time.Duration, w *waiter, now time.Time) time.Duration {
+	if earliest <= 0 || w.req.Promised {
 		return earliest
 	}
 	at := now.Add(earliest)
-	if next := c.nextPromise(req, now); next.After(at) {
+	if next := c.nextPromise(w, now); next.After(at) {
 		at = next
 	}
-	if at.Sub(now) <= req.Deadline.Sub(now)/maxReturnDivisor {
-		c.promises.line(req).until = at
+	if at.Sub(now) <= w.req.Deadline.Sub(now)/maxReturnDivisor {
+		c.promises.line(w).until = at
 	}
 	return at.Sub(now)
 }
 
 // nextPromise returns the time of the first slot after those that are promised.
-func (c *Controller) nextPromise(req *Request, now time.Time) time.Time {
-	taken, until := c.promises.before(req, now)
+func (c *Controller) nextPromise(w *waiter, now time.Time) time.Time {
+	taken, until := c.promises.before(w, now)
 	coldUntil := c.upstream.ColdUntil
-	interval := float64(c.slotInterval(req, until, now)) / (1 - taken)
+	interval := float64(c.slotInterval(w.req, until, now)) / (1 - taken)
 	next := until.Add(time.Duration(interval))
 	if until.Before(coldUntil) && next.After(coldUntil) {
 		return coldUntil // many requests start when the warm-up ends
--- a/coordination/capacity/queue.go
+++ b/coordination/capacity/queue.go
@@ -48,8 +48,8 @@
 }
 
 // before orders the queue: requests that can still meet their objective come first, then
-// the order is by priority, then those whose callers return go first, then the order is by
-// the recent work of the client account and by deadline. Requests that miss their objective in any case come last, so that they do not delay others past theirs.
+// the order is by priority, then the order is by the recent work of the
+// client account, then callers that return go first, and then the order is by deadline. Requests that miss their objective in any case come last, so that they do not delay others past theirs.
 func (c *Controller) before(a, b *waiter, now time.Time) bool {
 	if late := c.missesObjective(a.req, now); late != c.missesObjective(b.req, now) {
 		return !late
@@ -57,10 +57,10 @@
 	switch {
 	case a.req.Priority != b.req.Priority:
 		return a.req.Priority < b.req.Priority
-	case a.req.Returning != b.req.Returning:
-		return a.req.Returning
 	case a.level != b.level:
 		return a.level < b.level
+	case a.req.Returning != b.req.Returning:
+		return a.req.Returning
 	}
 	return a.req.Deadline.Before(b.req.Deadline)
 }
@@ -144,8 +144,7 @@
 	if w.req.Account == "" || !c.before(w, c.queue[last], now) {
 		return false
 	}
-	req := c.queue[last].req
-	c.queue[last].result <- Rejection{Reason: Full, RetryAfter: c.promise(c.drainTime(last, now), req, now)}
+	c.queue[last].result <- Rejection{Reason: Full, RetryAfter: c.promise(c.drainTime(last, now), c.queue[last], now)}
 	c.queue[last] = nil
 	c.queue = c.queue[:last]
 	return true
@@ -171,7 +170,7 @@
 			}
 			kept = append(kept, w)
 		case reject:
-			w.result <- Rejection{Reason: Full, RetryAfter: c.promise(c.drainTime(len(kept), now), w.req, now)}
+			w.result <- Rejection{Reason: Full, RetryAfter: c.promise(c.drainTime(len(kept), now), w, now)}
 		case startNow:
 			if after := c.rateWait(0, now); after > 0 {
 				kept = append(kept, c.queue[i:]...)
@@ -214,7 +213,7 @@
 			continue
 		}
 		c.shares.refuse(w.req, now)
-		w.result <- Rejection{Reason: Full, RetryAfter: c.promise(earliest, w.req, now)}
+		w.result <- Rejection{Reason: Full, RetryAfter: c.promise(earliest, w, now)}
 		c.queue = append(c.queue[:i], c.queue[i+1:]...)
 	}
 }
--- a/coordination/capacity/returns_test.go
+++ b/coordination/capacity/returns_test.go
@@ -22,6 +22,7 @@
 type returningCaller struct {
 	c        *capacity.Controller
 	class    *requestClass
+	account  string
 	promises bool // its refusals promise a time, and it goes before new requests when it returns
 }
 
@@ -34,7 +35,7 @@
 		now := time.Now()
 		permit, rejection := r.c.Acquire(context.Background(), &capacity.Request{
 			ServiceTime: r.class.serviceTime, Priority: r.class.priority, Objective: now.Add(r.class.objective), Deadline: deadline,
-			Returning: r.promises && refusals > 0, Promised: !r.promises,
+			Returning: r.promises && refusals > 0, Promised: !r.promises, Account: r.account,
 		})
 		if permit != nil {
 			time.Sleep(took)
--- a/coordination/capacity/shares_test.go
+++ b/coordination/capacity/shares_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/mulberrylink/mulberrylink/coordination/capacity"
 )
 
 // accountLoad is the load of a large and 20 small client accounts with equal requests, at an upstream of 9
@@ -90,3 +95,40 @@
 		}
 	}
 }
+
+// TestAccountsWhoseCallersReturn guards against refused callers of a large account that return and go before the
+// new requests of small ones. At up to 2.5 times the capacity, the account that gets the least must get a
+// quarter of the mean share, and the small ones a larger share than the large one.
+func TestAccountsWhoseCallersReturn(t *testing.T) {
+	class := requestClass{serviceTime: 220 * time.Millisecond, objective: 600 * time.Millisecond, deadline: 4 * time.Second}
+	for _, overload := range []float64{1.2, 1.7, 2.5} {
+		tallies := make([]returnTally, 21) // the first account sends half of the requests
+		synctest.Test(t, func(_ *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			c := capacity.New(time.Now)
+			c.Open(capacity.Upstream{Slots: 9})
+			var mu sync.Mutex
+			var callers sync.WaitGroup
+			for at := 0.0; at < 30; at += rng.ExpFloat64() / (overload * 9 / 0.22) {
+				i := max(0, rng.IntN(40)-19)
+				r := returningCaller{c: c, class: &class, promises: true, account: fmt.Sprint(i)}
+				took := time.Duration(float64(class.serviceTime) * max(0.3, 1+0.3*rng.NormFloat64()))
+				callers.Go(func() {
+					time.Sleep(time.Duration(at * float64(time.Second)))
+					r.call(took, &mu, &tallies[i])
+				})
+			}
+			callers.Wait()
+		})
+		served := func(n *returnTally) float64 { return float64(n.inTime+n.late) / float64(n.sent) }
+		least, sum := 1.0, 0.0
+		for i := range tallies {
+			least, sum = min(least, served(&tallies[i])), sum+served(&tallies[i])
+		}
+		large, small := served(&tallies[0]), (sum-served(&tallies[0]))/20
+		t.Logf("%.1f times the capacity: large account %.2f, mean of the small ones %.2f, least %.2f; large %+v", overload, large, small, least, tallies[0])
+		if least < sum/21/4 || small < large {
+			t.Errorf("%.1f times the capacity: the large account got %.2f, the small ones %.2f, the least %.2f", overload, large, small, least)
+		}
+	}
+}
