capacity, gateway: internal calls go before new work of their priority

An internal call waited behind requests of callers at an upstream that was at its limit, while its own request held a slot of another upstream.

Internal calls are not marked by who sends them, so each entry node learns which routes carry them. Its upstream makes calls only while it runs a request, and requests of callers arrive at an idle upstream as often as it is idle. A route is one of internal calls if 12 arrivals at an idle upstream were to be expected and at most a twentieth of these took place. A request of such a route without a client account that arrives while the upstream runs something carries the flag Internal and goes first within its priority. A wrong guess changes only that order. Promises to refused callers leave out what internal calls take.

--- a/coordination/capacity/controller.go
+++ b/coordination/capacity/controller.go
@@ -35,6 +35,7 @@
 	failureRateAt      time.Time
 	integrity          integrity.Record
 	shares             shareTable
+	idle               idleMeter
 	promises           promiseTable
 }
 
@@ -352,6 +353,7 @@
 
 func (c *Controller) admit(now time.Time, w *waiter) {
 	c.running++
+	c.idle.update(false, now)
 	c.promises.admit(w, c.slotInterval(w.req, now, now), now)
 	c.shares.admit(w.req, now)
 	w.permit = &Permit{c: c, expectedEnd: now.Add(time.Duration(float64(w.req.ServiceTime) * c.currentHostSlowdown(now) * c.currentUpstreamSlowdown(now)))}
@@ -371,6 +373,7 @@
 		defer p.c.mu.Unlock()
 		now := p.c.now()
 		p.c.running--
+		p.c.idle.update(p.c.running == 0, now)
 		delete(p.c.permits, p)
 		p.c.processQueue(now)
 	})
--- a/coordination/capacity/doc.go
+++ b/coordination/capacity/doc.go
@@ -20,7 +20,8 @@
 // for than the mean always goes first.
 //
 // A rejection names the time at which there will be a slot. It is promised to one caller only: the next
-// one gets a later time. A caller that returns at its time goes before new requests of its priority.
+// one gets a later time. A caller that returns at its time goes before new requests of its priority, and
+// internal calls go before both.
 //
 // A cold upstream gets requests from a token bucket. After a loss of power a whole deployment
 // returns, and more is asked than all cold upstreams together may take: a request that can still meet its objective waits for its turn by priority
@@ -165,4 +166,7 @@
 	// Returning is true if the caller was refused and returns at the time that the refusal named. Promised
 	// is true if another upstream has refused the request and named a time to return.
 	Returning, Promised bool
+	// Internal is true if the request is a call of another upstream, whose own request holds a slot
+	// meanwhile.
+	Internal bool
 }
--- a/coordination/capacity/promises.go
+++ b/coordination/capacity/promises.go
@@ -19,14 +19,18 @@
 // precedence is what requests have in common that take a slot before those of a higher precedence.
 type precedence struct {
 	priority int
-	level    int // of the client account
+	external bool // no internal call
+	level    int  // of the client account
 }
 
-func precedenceOf(w *waiter) precedence { return precedence{w.req.Priority, w.level} }
+func precedenceOf(w *waiter) precedence { return precedence{w.req.Priority, !w.req.Internal, w.level} }
 
 func (p precedence) before(other precedence) bool {
-	if p.priority != other.priority {
+	switch {
+	case p.priority != other.priority:
 		return p.priority < other.priority
+	case p.external != other.external:
+		return !p.external
 	}
 	return p.level < other.level
 }
--- a/coordination/capacity/queue.go
+++ b/coordination/capacity/queue.go
@@ -48,7 +48,7 @@
 }
 
 // before orders the queue: requests that can still meet their objective come first, then
-// the order is by priority, then the order is by the recent work of the
+// the order is by priority, then internal calls go first, then the order is by the recent work of the
 // client account, then callers that return go first, and then the order is by deadline. Requests that miss their objective in any case come last, so that they do not delay others past theirs.
 func (c *Controller) before(a, b *waiter, now time.Time) bool {
 	if late := c.missesObjective(a.req, now); late != c.missesObjective(b.req, now) {
@@ -57,6 +57,8 @@
 	switch {
 	case a.req.Priority != b.req.Priority:
 		return a.req.Priority < b.req.Priority
+	case a.req.Internal != b.req.Internal:
+		return a.req.Internal
 	case a.level != b.level:
 		return a.level < b.level
 	case a.req.Returning != b.req.Returning:
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -98,14 +98,14 @@
 	permit, rejection := g.admission.Acquire(ctx, &capacity.Request{
 		ServiceTime: req.meta.ServiceTime, Priority: req.meta.Priority, Repeatable: req.meta.Kind == routes.Safe, Objective: req.objective, Deadline: req.deadline, AlternativeCost: req.meta.AlternativeCost,
 		SoundAlternative: req.meta.SoundAlternative, SoundExtraCost: req.meta.SoundExtraCost, Trial: req.meta.Trial,
-		Account: req.meta.Account, Returning: req.meta.Returning, Promised: req.meta.Promised,
+		Account: req.meta.Account, Returning: req.meta.Returning, Promised: req.meta.Promised, Internal: req.meta.Internal,
 	})
 	if permit == nil {
 		load := g.admission.Load()
 		g.log.Debug().Str("request", g.cfg.Headers.RequestID(req.header)).Str("exchange", req.meta.ExchangeID).Str("route", req.meta.Route).
 			Str("reason", rejection.Reason.String()).Dur("after", rejection.RetryAfter).Dur("held", time.Since(enqueuedAt)).
 			Int("running", load.Running).Int("waiting", load.Waiting).Int("limit", load.Slots).Float64("factor", load.Slowdown).
-			Float64("failing", load.FailureRate).Float64("elsewhere", req.meta.AlternativeCost).Dur("work", req.meta.ServiceTime).
+			Float64("failing", load.FailureRate).Float64("elsewhere", req.meta.AlternativeCost).Bool("returning", req.meta.Returning).Bool("internal", req.meta.Internal).Dur("work", req.meta.ServiceTime).
 			Dur("objective", time.Until(req.objective)).Msg("not admitted")
 		endTurn()
 		return g.reject(rejection.Reason.String(), rejection.RetryAfter)
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -221,6 +221,7 @@
 	suspects      *suspect.List
 	suspectTurns  *turnQueue
 	returns       *returnTable
+	internalCalls *internalCalls
 	peerPool      *exchange.Pool
 	outcomes      *outcomeStore
 	peerEpochs    peerEpochs
@@ -240,7 +241,7 @@
 		configured: make(chan struct{}), exiting: make(chan struct{}),
 		directory: directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
-		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), suspectTurns: newTurnQueue(), returns: newReturnTable(), stats: newStats(cfg.Registry),
+		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), suspectTurns: newTurnQueue(), returns: newReturnTable(), internalCalls: newInternalCalls(), stats: newStats(cfg.Registry),
 	}
 	g.retryBudgets = retry.New(retry.Config{
 		Clock: systemClock{}, Registry: cfg.Registry, Reserve: 1, RefillInterval: cfg.Tuning.RetryRefillInterval, MaxTokens: cfg.Tuning.MaxRetryTokens,
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -78,6 +78,7 @@
 	}
 	req := g.newRequest(active, route, account, r, now)
 	defer req.end()
+	req.internal = g.isInternalCall(req)
 	if now := time.Now(); !req.finishesBeforeExit(now) {
 		g.writeError(w, r, req, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonLeaving, g.retryAfterShutdown(now))
 		return
@@ -387,7 +388,7 @@
 		ExchangeID: exchangeID{process: process{node: req.g.cfg.Name, epoch: req.g.epoch}, seq: req.g.exchangeSeq.Add(1)}.String(),
 		Service:    req.service, Route: req.route.Name, Kind: req.route.Kind, CallerService: req.g.upstream.current().Service,
 		Priority: req.priority(), Account: req.accountName(), Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
-		Returning: req.returning, Promised: s.promised(now),
+		Returning: req.returning, Promised: s.promised(now), Internal: req.internal,
 		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint), Integrity: encodeIntegrity(req.g.balancer.Integrity(a.node.Name), now),
 	}
 	if s.slowerRejections < maxSlowerRejections {
--- a/gateway/forget.go
+++ b/gateway/forget.go
@@ -68,6 +68,7 @@
 	g.transferSizes.Retain(isRoute)
 	g.splitter.Retain(isRoute)
 	g.routeShares.retain(isRoute)
+	g.internalCalls.retain(isRoute)
 	g.retryBudgets.Retain(func(name string) bool {
 		_, before := previous.table.Services[name]
 		_, now := current.table.Services[name]
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -42,6 +42,7 @@
 	serviceTimeAssumed bool                  // no request of the route has been observed yet
 	budgetRequest      *mulberrylink.Request // the request as the retry budget counts it
 	fingerprint        uint64                // set once the body has been read
+	internal           bool                  // a call of the upstream beside the node
 	returning          bool                  // the caller was refused and returns at the time that the refusal named
 }
 
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -66,6 +66,8 @@
 	// Returning is true if the caller was refused and returns at the time that the refusal named. Promised
 	// is true if another upstream has refused the request and named a time to return.
 	Returning, Promised bool
+	// Internal is true if the request is a call of the upstream beside the entry node.
+	Internal bool
 }
 
 // Integrity is the estimate of package integrity for an upstream. The zero value is that of
@@ -126,7 +128,7 @@
 	if m.Integrity != (Integrity{}) {
 		optional[0] = m.Integrity.encode()
 	}
-	if flags := encodeFlags(m.Returning, m.Promised); flags != 0 {
+	if flags := encodeFlags(m.Returning, m.Promised, m.Internal); flags != 0 {
 		optional[2] = strconv.Itoa(flags)
 	}
 	n := len(optional)
@@ -197,7 +199,7 @@
 	}
 	if len(fields) > requestFields+2 {
 		flags := p.int(fields[requestFields+2])
-		meta.Returning, meta.Promised = flags&1 != 0, flags&2 != 0
+		meta.Returning, meta.Promised, meta.Internal = flags&1 != 0, flags&2 != 0, flags&4 != 0
 	}
 	return meta, errors.Wrap(p.err, "parse hop header of a request")
 }
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -40,11 +40,11 @@
 	gotRequest, err = hop.ParseRequestMeta(request.Encode())
 	is.NoErr(err)
 	is.Equal(gotRequest, request)
-	request.Account, request.Returning = "", true
+	request.Account, request.Returning, request.Internal = "", true, true
 	gotRequest, err = hop.ParseRequestMeta(request.Encode())
 	is.NoErr(err)
 	is.Equal(gotRequest, request)
-	request.Account, request.Returning, request.Promised = "north; \"west\", 100%", false, false
+	request.Account, request.Returning, request.Promised, request.Internal = "north; \"west\", 100%", false, false, false
 	is.Equal(request.Encode(), withoutFlags)
 	request.SoundAlternative, request.Trial, request.SoundExtraCost = true, true, -0.125
 	request.Integrity.Required, request.Integrity.Missing, request.Integrity.Relapses = 126, 80, 2
