gateway: rejections of requests with a client account are counted

Rejections beside an upstream were counted by reason only, so it was not visible whether client accounts or others met them. Counter admit_refused_account.REASON; there is no counter per account.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -101,6 +101,9 @@
 		Account: req.meta.Account, Returning: req.meta.Returning, Promised: req.meta.Promised, Internal: req.meta.Internal,
 	})
 	if permit == nil {
+		if req.meta.Account != "" {
+			g.stats.count("admit_refused_account." + rejection.Reason.String())
+		}
 		load := g.admission.Load()
 		g.log.Debug().Str("request", g.cfg.Headers.RequestID(req.header)).Str("exchange", req.meta.ExchangeID).Str("route", req.meta.Route).
 			Str("reason", rejection.Reason.String()).Dur("after", rejection.RetryAfter).Dur("held", time.Since(enqueuedAt)).
