--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -83,6 +83,7 @@
 	}
 	req := g.newRequest(active, route, account, r, now)
 	defer req.end()
+	req.internal = g.isInternalCall(req)
 	if now := time.Now(); !req.finishesBeforeExit(now) {
 		g.writeError(w, r, req, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonLeaving, g.retryAfterShutdown(now))
 		return
@@ -117,6 +118,9 @@
 		return
 	}
 	defer req.returnTokens()
+	if req.returning = g.returns.take(req.fingerprint, req.bodyReadAt); req.returning {
+		g.stats.count("returned")
+	}
 	req.serve(w)
 }
 
@@ -290,7 +294,8 @@
 	s.keepToken(a)
 	switch {
 	case res.meta.RejectReason != "":
-		s.rejectReason, s.retryAfter = res.meta.RejectReason, earliestRetryAfter(s.retryAfter, res.meta.RetryAfter)
+		s.rejectReason = res.meta.RejectReason
+		s.nameTime(res.meta.RetryAfter)
 		s.attempts--
 		switch res.meta.RejectReason {
 		case reasonSlower, reasonReserved:
@@ -340,14 +345,6 @@
 	}
 }
 
-// earliestRetryAfter returns the shorter of two delays, where 0 means unknown.
-func earliestRetryAfter(current, next time.Duration) time.Duration {
-	if current == 0 || next > 0 && next < current {
-		return next
-	}
-	return current
-}
-
 // takeRetry reports whether the request may be sent once more, and takes that attempt
 // from the retry budget.
 func (s *requestState) takeRetry() bool {
@@ -407,6 +404,7 @@
 		ExchangeID: exchangeID{process: process{node: req.g.cfg.Name, epoch: req.g.epoch}, seq: req.g.exchangeSeq.Add(1)}.String(),
 		Service:    req.service, Route: req.route.Name, Kind: req.route.Kind, CallerService: req.g.upstream.current().Service,
 		Priority: req.priority(), Account: req.accountName(), Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
+		Returning: req.returning, Promised: s.promised(now), Internal: req.internal,
 		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint), Integrity: encodeIntegrity(req.g.balancer.Integrity(a.node.Name), now),
 	}
 	if s.slowerRejections < maxSlowerRejections {
--- a/gateway/forget.go
+++ b/gateway/forget.go
@@ -34,6 +34,7 @@
 			g.forgetRemovedRoutes(previous, current)
 			previous = current
 			g.outcomes.prune(now)
+			g.returns.prune(now)
 			g.updateGauges()
 			g.updateMemoryGauges()
 		}
@@ -67,6 +68,7 @@
 	g.transferSizes.Retain(isRoute)
 	g.splitter.Retain(isRoute)
 	g.routeShares.retain(isRoute)
+	g.internalCalls.retain(isRoute)
 	g.retryBudgets.Retain(func(name string) bool {
 		_, before := previous.table.Services[name]
 		_, now := current.table.Services[name]
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -44,6 +44,8 @@
 	budgetRequest      *mulberrylink.Request // the request as the retry budget counts it
 	fingerprint        uint64                // set once the body has been read
 	tokens             []quota.Token         // for attempts that have not started, of an account with a limit
+	internal           bool                  // a call of the upstream beside the node
+	returning          bool                  // the caller was refused and returns at the time that the refusal named
 }
 
 func (g *Gateway) newRequest(active *activeConfig, route *routes.Route, account *accounts.Account, r *http.Request, now time.Time) *request {
