--- a/coordination/document/doc.go
+++ b/coordination/document/doc.go
@@ -7,7 +7,7 @@
 // gaps. Of several changes with the same base version exactly one is accepted. An accepted change
 // that is sent again is recognised by its digest, also after later changes or a restore from a
 // snapshot, and reported as accepted, as long as it is one of the last 16,384. The state also holds the failure domains that are out of
-// service; they change independently of the version of the document.
+// service and the last rollout of each service; they change independently of the version of the document.
 //
 // # Usage
 //
--- a/coordination/document/machine.go
+++ b/coordination/document/machine.go
@@ -19,7 +19,8 @@
 const (
 	// Accepted means that the command was applied, now or when it was first sent.
 	Accepted Outcome = iota // accepted
-	// Conflict means that the base version of the change is not the current version.
+	// Conflict means that the base version of the change is not the current version, or that another
+	// rollout of the service runs.
 	Conflict // conflict
 	// Stale means that the version of the change is not higher than the current version.
 	Stale // stale
@@ -27,12 +28,14 @@
 	Malformed // malformed
 )
 
-// Command is one log entry. It is either a change of the document, or takes a failure domain out
-// of service or back.
+// Command is one log entry. It is either a change of the document, takes a failure domain out of
+// service or back, starts a rollout, or is a step of one.
 type Command struct {
-	Change    *Change `cbor:"c,omitempty"`
-	Domain    string  `cbor:"d,omitempty"`
-	DomainOut bool    `cbor:"o,omitempty"`
+	Change    *Change  `cbor:"c,omitempty"`
+	Domain    string   `cbor:"d,omitempty"`
+	DomainOut bool     `cbor:"o,omitempty"`
+	Start     *Rollout `cbor:"r,omitempty"`
+	Step      *Rollout `cbor:"p,omitempty"`
 }
 
 // Encode encodes a command for the replicated log.
@@ -116,8 +119,13 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c.Change != nil {
+	switch {
+	case c.Change != nil:
 		return []byte{byte(m.applyChange(c.Change))}
+	case c.Start != nil:
+		return []byte{byte(m.startRollout(c.Start))}
+	case c.Step != nil:
+		return []byte{byte(m.stepRollout(c.Step))}
 	}
 	return []byte{byte(m.setDomainOut(c.Domain, c.DomainOut))}
 }
--- a/coordination/document/state.go
+++ b/coordination/document/state.go
@@ -20,7 +20,7 @@
 	Items []Item `cbor:"i"`
 }
 
-// State is one version of the document and the failure domains that are out of service. A
+// State is one version of the document, the failure domains that are out of service and the rollouts. A
 // published State is immutable.
 type State struct {
 	Version uint64 `cbor:"v"`
@@ -29,7 +29,9 @@
 	Extra []byte `cbor:"r,omitempty"`
 	// DomainsOut are the names of the failure domains that are out of service, sorted.
 	DomainsOut []string `cbor:"o,omitempty"`
-	// Revision increases with every change of the document or of DomainsOut.
+	// Rollouts are the last rollouts of the services that had one, sorted by service.
+	Rollouts []Rollout `cbor:"u,omitempty"`
+	// Revision increases with every change of the document, of DomainsOut or of Rollouts.
 	Revision uint64 `cbor:"s"`
 }
 
@@ -78,7 +80,7 @@
 
 // Apply returns the state after a change. It does not check versions.
 func (s *State) Apply(c *Change) *State {
-	next := &State{Version: c.Version, Extra: s.Extra, DomainsOut: s.DomainsOut, Revision: s.Revision + 1}
+	next := &State{Version: c.Version, Extra: s.Extra, DomainsOut: s.DomainsOut, Rollouts: s.Rollouts, Revision: s.Revision + 1}
 	if c.Replace {
 		next.Lists, next.Extra = c.Lists, c.Extra
 		return next
