feed, gateway, controlhost, platform: rollouts from the order to the draw at the entry node

Cause: the decision about a rollout had no inputs and no effect yet. Change: heartbeats and node records carry the software version of the upstream; the feed carries the rollouts to the nodes and their results to every control host; the leader steps the rollouts; entry nodes draw the version of each request, and the node beside an upstream of a version that was rolled back rejects it. Measured: tests of gateway, controlhost, protocol/feed and platform (without TestS*) pass with the race detector.

--- a/controlhost/controlhost_test.go
+++ b/controlhost/controlhost_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/mulberrylink/mulberrylink/controlhost"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 	"github.com/mulberrylink/mulberrylink/internal/testaddr"
 )
 
@@ -55,7 +56,9 @@
 			}
 			return nil
 		},
-		Log: &log.Logger{Level: log.FatalLevel},
+		HasService: func(_ *document.State, name string) bool { return name != "unknown" },
+		Rollout:    rollout.Bounds{CanaryShare: 0.1, CanarySlack: 50},
+		Log:        &log.Logger{Level: log.FatalLevel},
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -1,6 +1,6 @@
 // Package controlhost assembles a control host. It runs a replica of the log that holds the
 // configuration document, joins the group of control hosts and replaces lost members while it is
-// the leader, and serves the feed that nodes subscribe to. The program that embeds it provides the
+// the leader, and serves the feed that nodes subscribe to. The leader also decides about rollouts. The program that embeds it provides the
 // interface for operators.
 //
 // # Usage
@@ -27,6 +27,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
 	"github.com/mulberrylink/mulberrylink/coordination/quorum"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
@@ -78,7 +79,11 @@
 	GroupSize int
 	// Validate returns an error if the change is invalid for the base state.
 	Validate func(base *document.State, c *document.Change) error
-	Log      *log.Logger
+	// HasService reports whether a service is configured. Without it, any name is a service.
+	HasService func(s *document.State, service string) bool
+	// Rollout are the limits of rollouts.
+	Rollout rollout.Bounds
+	Log     *log.Logger
 	// Registry receives the gauges of the host. It may be nil.
 	Registry metrics.Registry
 }
@@ -88,6 +93,7 @@
 	cfg        Config
 	nodes      *directory.Directory
 	suspects   *suspect.List
+	reports    *rollout.Board
 	hub        *feed.Hub
 	rpc        *rpc.Server
 	pool       *rpc.Pool
@@ -120,7 +126,7 @@
 	if cfg.Registry == nil {
 		cfg.Registry = metrics.NewRegistry()
 	}
-	h := &Host{cfg: cfg, nodes: directory.New(), suspects: suspect.New(suspect.Config{Clock: systemClock{}})}
+	h := &Host{cfg: cfg, nodes: directory.New(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), reports: rollout.NewBoard()}
 	h.pool = rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout})
 	if err := h.formatDataDir(); err != nil {
 		return nil, err
@@ -129,7 +135,7 @@
 		return nil, err
 	}
 	h.hub = feed.NewHub(feed.HubConfig{
-		Directory: h.nodes, Suspects: h.suspects, State: h.state, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
+		Directory: h.nodes, Suspects: h.suspects, Reports: h.reports, State: h.state, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	h.rpc = rpc.NewServer(func(err error) { cfg.Log.Debug().Err(err).Msg("connection lost") })
 	h.rpc.SetLimits(rpc.Limits{Conns: maxConns, WriteTimeout: writeTimeout})
@@ -228,6 +234,7 @@
 	h.wg.Go(func() { h.joinLoop(ctx) })
 	h.wg.Go(func() { h.maintainGroup(ctx) })
 	h.wg.Go(func() { h.watchStatus(ctx) })
+	h.wg.Go(func() { h.rolloutLoop(ctx) })
 	err = h.rpc.Serve(ctx, lis)
 	h.wg.Wait()
 	return err
--- a/controlhost/group.go
+++ b/controlhost/group.go
@@ -409,7 +409,7 @@
 func (p *peerFeeds) open(ctx context.Context, h *Host, addr string) *peerFeed {
 	ctx, cancel := context.WithCancel(ctx)
 	client := feed.NewClient(feed.ClientConfig{
-		Dialer: h.pool, Seeds: []string{addr}, HostName: h.cfg.Name, SeedsOnly: true, Directory: h.nodes, Suspects: h.suspects, Log: h.cfg.Log,
+		Dialer: h.pool, Seeds: []string{addr}, HostName: h.cfg.Name, SeedsOnly: true, Directory: h.nodes, Suspects: h.suspects, Reports: h.reports, Log: h.cfg.Log,
 	})
 	h.wg.Go(func() { client.Run(ctx) })
 	return &peerFeed{client: client, cancel: cancel}
--- a/coordination/directory/directory.go
+++ b/coordination/directory/directory.go
@@ -64,7 +64,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e, ok := d.entries[n.Name]
-	if !ok && len(d.entries) >= maxEntries || len(n.Name)+len(n.Domain)+len(n.Service)+len(n.Addr)+len(n.Front) > maxRecordBytes {
+	if !ok && len(d.entries) >= maxEntries || len(n.Name)+len(n.Domain)+len(n.Service)+len(n.Release)+len(n.Addr)+len(n.Front) > maxRecordBytes {
 		return false
 	}
 	if ok && !newer(&n, &e.Node) {
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mulberrylink/mulberrylink/coordination/capacity"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/protocol/hop"
 	"github.com/mulberrylink/mulberrylink/state/memory"
@@ -38,6 +39,7 @@
 	reasonUpstreamDown = "down"
 	reasonBarred       = "barred" // the entry node has already been told that the exchange doesn't run
 	reasonNoConfig     = "noconfig"
+	reasonRolledBack   = "rolledback" // a rollout to the version of the upstream was rolled back
 	// reasonSuspect is given to a request that has become a suspect while it was queued, and
 	// reasonSuspectBusy to a suspect that cannot get its turn in time.
 	reasonSuspect     = "suspect"
@@ -86,6 +88,9 @@
 	if hb.Service != req.meta.Service || hb.ID == "" {
 		return g.reject(reasonNoService, 0)
 	}
+	if g.isRolledBack(&hb) {
+		return g.reject(reasonRolledBack, 0)
+	}
 	g.upstream.refreshLoad(ctx)
 	if req.meta.ServiceTimeAssumed {
 		req.meta.ServiceTime = g.serviceTimes.MeanOr(req.meta.Route, req.meta.ServiceTime)
@@ -123,6 +128,7 @@
 		onError: func(err error) {
 			if ctx.Err() == nil {
 				g.recordUpstreamFailure(req, &hb, time.Since(enqueuedAt), err)
+				g.results.Record(rollout.Result{Release: hb.Release, Route: req.meta.Route, Failed: true})
 			}
 		},
 	}
@@ -168,10 +174,15 @@
 	if active := g.active.Load(); active != nil && active.state.IsDomainOut(g.cfg.Domain) {
 		return g.reject(capacity.Closed.String(), 0)
 	}
+	if g.isRolledBack(&hb) {
+		return g.reject(reasonRolledBack, 0)
+	}
 	if rejected := g.checkSuspicion(req); rejected != nil {
 		return *rejected
 	}
-	return g.exchange(ctx, req, &hb, start)
+	res := g.exchange(ctx, req, &hb, start)
+	g.recordRelease(ctx, req, &hb, start, &res)
+	return res
 }
 
 // exchange sends an admitted request to the upstream and reads the response.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -92,6 +92,7 @@
 		return false
 	}
 	all, nodes := s.candidates()
+	all = s.restrictRelease(all, nodes)
 	all, ok := s.restrictSuspect(kind, all)
 	if !ok {
 		return false
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -16,6 +16,9 @@
 // upstream crashes too, the suspect is refused everywhere; when the suspect completes, it is
 // cleared. Nodes tell each other with the request, its response, and through protocol/feed.
 //
+// While a rollout of a service runs, the entry node draws for each request whether it goes to the new
+// software version, and the node beside an upstream reports the results (coordination/rollout).
+//
 // # Usage
 //
 //	g := gateway.New(gateway.Config{Name: "node-7", Domain: "d1", …})
@@ -41,6 +44,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/document"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
 	"github.com/mulberrylink/mulberrylink/coordination/retry"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/coordination/servicetime"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
@@ -186,6 +190,9 @@
 	// WarmupRateScale scales the request rate that cold upstreams receive, and WarmupBurst
 	// is the number of requests beyond it that each of them takes at once.
 	WarmupRateScale, WarmupBurst float64
+	// Rollback is the time after the 50th bad result from which a bad version must get no request. It is
+	// 0 if a rollout has no such limit.
+	Rollback time.Duration
 }
 
 // activeConfig is the configuration in force on the node.
@@ -228,6 +235,8 @@
 	routeShares   routeShares
 	streamed      atomic.Int64 // requests in flight whose body is incomplete for lack of memory
 	shortage      shortageLog
+	results       *rollout.Recorder // of the upstream, by version
+	rolloutSet    chan struct{}     // signals a change of the rollouts
 	outbound      *ingress.Server
 	inbound       *ingress.Server
 }
@@ -240,7 +249,9 @@
 		directory: directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
 		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), suspectTurns: newTurnQueue(), stats: newStats(cfg.Registry),
+		rolloutSet: make(chan struct{}, 1),
 	}
+	g.results = rollout.NewRecorder(cfg.Name, g.epoch)
 	g.retryBudgets = retry.New(retry.Config{
 		Clock: systemClock{}, Registry: cfg.Registry, Reserve: 1, RefillInterval: cfg.Tuning.RetryRefillInterval, MaxTokens: cfg.Tuning.MaxRetryTokens,
 		Percent: func(string) int { return cfg.Tuning.RetryPercent },
@@ -309,6 +320,7 @@
 	go g.feed.Run(ctx)
 	go g.upstream.probeLoop(ctx)
 	go g.forgetLoop(ctx)
+	go g.reportLoop(ctx)
 	g.upstream.publish()
 	select {
 	case err := <-serveErr:
@@ -340,6 +352,7 @@
 		next.table = table
 	}
 	g.active.Store(next)
+	g.noteRollouts(old, s)
 	oldVersion := uint64(0)
 	if old != nil {
 		oldVersion = old.state.Version
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"time"
@@ -191,6 +192,7 @@
 	hedged            bool
 	hedgeHeld         bool // the hedged request waits for lastHedgeAt, because its upstream is in reserve
 	hedgeTimer        *time.Timer
+	releaseDraw       float64 // decides which version gets the request while a rollout runs
 }
 
 // serve starts attempts until the caller has a response.
@@ -199,6 +201,7 @@
 	defer cancel()
 	s := &requestState{
 		req: q, w: w, ctx: ctx, done: make(chan *attempt, maxPlacements+1), silent: make(chan *attempt, maxPlacements+1), excluded: make(map[string]bool),
+		releaseDraw: rand.Float64(),
 	}
 	q.g.retryBudgets.RecordRequest(q.budgetRequest)
 	if q.g.upstream.current().Service == q.service {
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -26,8 +26,10 @@
 // Heartbeat is the state that an upstream instance reports about itself.
 type Heartbeat struct {
 	ID, Service, Addr string
-	Slots             int
-	Draining          bool
+	// Release is the version of the software of the instance, empty if it is not known.
+	Release  string
+	Slots    int
+	Draining bool
 	// Warmup is the remaining warm-up time.
 	Warmup time.Duration
 	// Seq grows with every heartbeat of one incarnation. Incarnation is the start time of
@@ -121,7 +123,7 @@
 	u.coldUntil = time.Now().Add(hb.Warmup)
 	u.mu.Unlock()
 	if changed {
-		u.g.log.Info().Str("upstream", hb.ID).Str("before", cur.ID).Str("service", hb.Service).Str("addr", hb.Addr).
+		u.g.log.Info().Str("upstream", hb.ID).Str("before", cur.ID).Str("service", hb.Service).Str("release", hb.Release).Str("addr", hb.Addr).
 			Int("slots", hb.Slots).Bool("draining", hb.Draining).Dur("warmup", hb.Warmup).Uint64("seq", hb.Seq).Msg("upstream announced")
 	}
 	u.publish()
@@ -240,7 +242,7 @@
 	defer u.mu.Unlock()
 	state := u.state(now)
 	n := mulberrylink.Node{
-		Name: u.g.cfg.Name, Domain: u.g.cfg.Domain, Service: u.instance.Service, Addr: cmp.Or(u.g.cfg.AdvertisedAddr, u.g.cfg.InboundAddr),
+		Name: u.g.cfg.Name, Domain: u.g.cfg.Domain, Service: u.instance.Service, Release: u.instance.Release, Addr: cmp.Or(u.g.cfg.AdvertisedAddr, u.g.cfg.InboundAddr),
 		State: mulberrylink.NodeReady, Upstream: state, Slots: u.instance.Slots,
 	}
 	if u.g.leaving.Load() {
--- a/node.go
+++ b/node.go
@@ -35,6 +35,8 @@
 	Domain string
 	// Service is the service of the node's upstream, empty if no upstream has announced itself.
 	Service string
+	// Release is the version of the software of the upstream, empty if it is not known.
+	Release string `cbor:",omitempty"`
 	// Addr is the address on which the node serves RPC (TCP) and gossip (UDP).
 	Addr string
 	// Front is the address on which the node serves the HTTP requests of callers.
--- a/protocol/feed/client.go
+++ b/protocol/feed/client.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/state/codec"
 )
@@ -50,6 +51,8 @@
 	// Suspects holds the records of crash suspects. A node also sends its records to the hub. It
 	// may be nil.
 	Suspects *suspect.List
+	// Reports holds the reports of nodes that the hub sends to a control host. It may be nil.
+	Reports *rollout.Board
 	// OnState is called with each newer committed state. It may be nil.
 	OnState func(*document.State)
 	// Domain is the failure domain of the subscriber. Control hosts in this domain are preferred.
@@ -74,7 +77,8 @@
 	failedAt    map[string]time.Time
 	hostDomain  string             // failure domain of the control host, as sent by its hub
 	self        *mulberrylink.Node // the node's own record, replaced on every change
-	selfChanged chan struct{}      // signals a change of self
+	selfChanged chan struct{}      // signals a change of self or of report
+	report      *rollout.Report    // last report of the node, replaced on every change
 	state       *document.State
 }
 
@@ -296,6 +300,7 @@
 // and an empty message every heartbeatInterval otherwise.
 func (c *Client) sendHeartbeats(ctx context.Context, stream drpc.Stream, addr string, sentRecord *mulberrylink.Node) {
 	suspects := suspectCursor{list: c.cfg.Suspects}
+	var sentReport *rollout.Report
 	if c.cfg.HostName != "" {
 		suspects.list = nil // control hosts receive them from the hubs of each other
 	}
@@ -306,6 +311,9 @@
 		if n := c.selfRecord(); n != sentRecord {
 			m.Node, sentRecord = n, n
 		}
+		if r := c.currentReport(); r != sentReport {
+			m.Report, sentReport = r, r
+		}
 		suspectsChanged := suspects.next(&m.Suspects, func(source string) bool { return source != addr })
 		if err := stream.MsgSend(&m, codec.Encoding{}); err != nil {
 			return
@@ -329,6 +337,7 @@
 		}
 	}
 	mergeSuspects(c.cfg.Suspects, addr, m.Suspects)
+	c.storeReports(m.Reports, addr)
 	c.mu.Lock()
 	if len(m.Hosts) > 0 && !c.cfg.SeedsOnly {
 		c.hosts = m.Hosts
@@ -376,7 +385,8 @@
 			next = *c.state.Apply(update.Change)
 		}
 	}
-	// A cached update may be older than the last change of the failure domains.
+	// A cached update may be older than the last change of the failure domains and of the rollouts.
 	next.DomainsOut, next.Revision = m.DomainsOut, m.Revision
+	next.Rollouts = document.MergeRollouts(c.state.Rollouts, m.Rollouts)
 	return &next, nil
 }
--- a/protocol/feed/doc.go
+++ b/protocol/feed/doc.go
@@ -1,7 +1,9 @@
 // Package feed distributes node records and the configuration. A node subscribes to the hub of one
 // control host and sends its own record. The hub sends it the records of all other nodes, the
-// committed document, the failure domains that are out of service, the addresses of the control hosts,
-// and the records of crash suspects (coordination/suspect), which nodes also send to the hub. A
+// committed document, the failure domains that are out of service, the rollouts, the addresses of the
+// control hosts, and the records of crash suspects (coordination/suspect), which nodes also send to the
+// hub. During a rollout, nodes send the results of their upstreams (coordination/rollout), which hubs
+// pass on to the control hosts. A
 // subscriber has the records that the hub holds before the first document. Each control host also
 // subscribes to the hubs of all others, so that each knows every node. A hub sends a control host only
 // the records of the nodes that subscribe to this hub. It does not send it the document, which control
@@ -34,6 +36,7 @@
 
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 )
 
 const (
@@ -60,6 +63,9 @@
 	// batchDelay is the delay after a change of records. Further changes within it are sent in the
 	// same message.
 	batchDelay = 10 * time.Millisecond
+	// reportDelay is the delay after a report of results, so that control hosts are sent those of several
+	// nodes in one message.
+	reportDelay = 30 * time.Millisecond
 )
 
 // Host is a control host. Subscribers prefer control hosts in their own failure domain, because most
@@ -90,6 +96,8 @@
 	Revision uint64 `cbor:"s,omitempty"`
 	// Suspects are the records of crash suspects that changed and that the hub has not sent.
 	Suspects []suspectNotice `cbor:"c,omitempty"`
+	// Report holds the results of the node's upstream during a rollout. It is set when it changed.
+	Report *rollout.Report `cbor:"t,omitempty"`
 }
 
 // hubMessage is a message from a hub to a subscriber.
@@ -102,6 +110,8 @@
 	CompressedUpdate []byte   `cbor:"p,omitempty"`
 	DomainsOut       []string `cbor:"o,omitempty"`
 	Revision         uint64   `cbor:"s,omitempty"`
+	// Rollouts are those that have changed since the last revision that the subscriber has.
+	Rollouts []document.Rollout `cbor:"u,omitempty"`
 	// Hosts are the control hosts, and Domain is the failure domain of the sending one. Both are set
 	// if the control hosts are not those that the hub sent last.
 	Hosts  []Host `cbor:"h,omitempty"`
@@ -113,6 +123,9 @@
 	StoredIncarnation uint64 `cbor:"r,omitempty"`
 	// Suspects are the records of crash suspects that changed.
 	Suspects []suspectNotice `cbor:"c,omitempty"`
+	// Reports are the reports that nodes sent to this hub and that changed. Only control hosts are sent
+	// them.
+	Reports []rollout.Report `cbor:"t,omitempty"`
 }
 
 // suspectNotice is the wire format of a suspect.Notice. It carries the remaining time instead of a
--- a/protocol/feed/hub.go
+++ b/protocol/feed/hub.go
@@ -14,6 +14,7 @@
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/directory"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/state/codec"
 )
@@ -34,6 +35,8 @@
 	Directory *directory.Directory
 	// Suspects holds the records of crash suspects that the hub receives and sends. It may be nil.
 	Suspects *suspect.List
+	// Reports holds the results that nodes report during rollouts. It may be nil.
+	Reports *rollout.Board
 	// State returns the committed state and a channel that is closed when the state changes.
 	State func() (*document.State, <-chan struct{})
 	// HasLeader reports whether this control host knows a leader or is the leader.
@@ -88,6 +91,7 @@
 	version           uint64      // of the subscriber's document
 	stateRevision     uint64      // of the subscriber's state
 	suspects          suspectCursor
+	reportRevision    uint64 // of the reports sent last
 	hosts             []Host // sent last
 }
 
@@ -120,6 +124,7 @@
 				return
 			}
 			mergeSuspects(h.cfg.Suspects, s.source, m.Suspects)
+			s.storeReport(m.Report)
 		}
 	}()
 	err := s.sendUpdates(ctx)
@@ -168,7 +173,7 @@
 	switch {
 	case n.Name != s.recordName:
 		return errOtherNode
-	case len(n.Name)+len(n.Domain)+len(n.Service)+len(n.Addr)+len(n.Front) > maxRecordBytes:
+	case len(n.Name)+len(n.Domain)+len(n.Service)+len(n.Release)+len(n.Addr)+len(n.Front) > maxRecordBytes:
 		return errRecordTooLarge
 	}
 	d := s.hub.cfg.Directory
@@ -199,6 +204,7 @@
 		suspectsChanged := s.suspects.next(&m.Suspects, func(source string) bool {
 			return source != s.source && (s.hostName == "" || isSession(source))
 		})
+		reportsChanged := s.addReports(&m)
 		if err := s.stream.MsgSend(&m, codec.Encoding{}); err != nil {
 			return err
 		}
@@ -212,6 +218,8 @@
 			}
 		case <-nodesChanged:
 			time.Sleep(batchDelay)
+		case <-reportsChanged:
+			time.Sleep(reportDelay)
 		case <-stateChanged:
 		case <-suspectsChanged: // sent at once, because the next copy of a crashing request may be on its way
 		case <-heartbeat.C:
@@ -262,7 +270,7 @@
 			return changed // the subscriber still has its earlier revision
 		}
 	}
-	m.DomainsOut, m.Revision = state.DomainsOut, state.Revision
+	m.DomainsOut, m.Rollouts, m.Revision = state.DomainsOut, state.RolloutsSince(s.stateRevision), state.Revision
 	s.version, s.stateRevision = state.Version, state.Revision
 	return changed
 }
