--- a/coordination/rollout/controller.go
+++ b/coordination/rollout/controller.go
@@ -98,12 +98,14 @@
 	startedAt time.Time          // when this leader had current reports for the first time
 	firstAt   time.Time          // time of the first step
 
-	sliceAt  time.Time          // end of the last slice
-	sliced   map[string]*Report // reports at that time
-	old      baseline
-	total    evidenceMap
-	recent   []evidenceMap // of the last slices, the oldest first
-	badSince time.Time     // start of the slices without the old version in which the new one is bad
+	sliceAt   time.Time          // end of the last slice
+	sliced    map[string]*Report // reports at that time
+	share     int                // at that time
+	skipUntil time.Time          // until when slices are not compared
+	old       baseline
+	total     evidenceMap
+	recent    []evidenceMap // of the last slices, the oldest first
+	badSince  time.Time     // start of the slices without the old version in which the new one is bad
 }
 
 // NewController returns a Controller for a rollout whose entry was applied at now.
@@ -140,6 +142,7 @@
 	c.leads, c.firstAt, c.sliceAt = true, now, now
 	c.current, c.first, c.sliced = make(map[string]*Report), make(map[string]*Report), make(map[string]*Report)
 	c.old, c.total, c.recent, c.badSince = make(baseline), make(evidenceMap), nil, time.Time{}
+	c.share, c.skipUntil = 0, time.Time{}
 }
 
 // Step returns the next entry of a running rollout. Its Reason is ReasonNone if nothing changes.
@@ -210,8 +213,13 @@
 		return // the slice goes on
 	}
 	c.sliceAt, c.sliced = now, maps.Clone(c.current)
+	if order.Share < c.share {
+		c.skipUntil = now.Add(c.plan.skip)
+	}
+	c.share = order.Share
 	switch {
 	case !uncontrolled:
+		c.badSince = time.Time{}
 	case !c.old.rises(s):
 		c.badSince = time.Time{}
 		return
@@ -221,6 +229,9 @@
 	default:
 		return
 	}
+	if now.Before(c.skipUntil) {
+		return
+	}
 	c.old.add(s)
 	e := c.old.compare(s)
 	c.total.add(e)
@@ -300,8 +311,11 @@
 	p, left := &c.plan, c.end.Sub(now)
 	sinceStep := time.Duration(order.ChangedLeft)*time.Millisecond - left
 	if order.Share >= document.FullShare {
-		if !suspect && sinceStep >= p.minHold && left <= p.complete || suspect && left <= p.spare {
+		switch {
+		case !suspect && sinceStep >= p.minHold && left <= p.complete, suspect && left <= p.spare:
 			return order.Share, ReasonComplete
+		case !c.badSince.IsZero() && left > p.lastCall(missingSteps(backShare))+p.recheck:
+			return backShare, ReasonSuspect // the old version is needed for the comparison
 		}
 		return order.Share, ReasonNone
 	}
--- a/coordination/rollout/plan.go
+++ b/coordination/rollout/plan.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"time"
+
+	"github.com/mulberrylink/mulberrylink/coordination/document"
+)
 
 const (
 	// shortest is the duration from which the times of a plan are used in full. They are scaled down for
@@ -23,17 +27,25 @@
 	// minResults results of the new version. With so few the ramp starts by lateTime later.
 	settleTime = 600 * time.Millisecond
 	lateTime   = 1200 * time.Millisecond
+	// skipTime is the time after a decrease of the share in which the versions are not compared: the late
+	// results of earlier requests are slow ones, and more of them are of the new version. recheckTime is
+	// the least time at backShare.
+	skipTime    = 500 * time.Millisecond
+	recheckTime = 800 * time.Millisecond
 	// reserveTime is kept between the last possible completion and the deadline.
 	reserveTime = 500 * time.Millisecond
 )
 
 // ramp is the shares in permille after the share of a version that is not trusted.
-var ramp = []int{100, 250, 500, 1000}
+var ramp = []int{100, 250, 500, document.FullShare}
+
+// backShare is the share after the full one showed bad results.
+const backShare = 300
 
 // plan holds the points in time of a rollout as times before its deadline.
 type plan struct {
-	complete, ramp, lateRamp                              time.Duration
-	hold, minHold, step, lastStep, minStep, settle, spare time.Duration
+	complete, ramp, lateRamp                                             time.Duration
+	hold, minHold, step, lastStep, minStep, settle, skip, recheck, spare time.Duration
 }
 
 func newPlan(duration time.Duration) plan {
@@ -41,7 +53,7 @@
 	scaled := func(d time.Duration) time.Duration { return time.Duration(scale * float64(d)) }
 	p := plan{
 		complete: scaled(margin), hold: scaled(hold), minHold: scaled(minHold), step: scaled(stepTime), lastStep: scaled(lastStepTime), minStep: scaled(minStepTime),
-		settle: scaled(settleTime), spare: scaled(reserveTime),
+		settle: scaled(settleTime), skip: scaled(skipTime), recheck: scaled(recheckTime), spare: scaled(reserveTime),
 	}
 	p.ramp = p.complete + p.hold + time.Duration(len(ramp)-2)*p.step + p.lastStep
 	p.lateRamp = p.ramp - scaled(lateTime)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -20,8 +20,10 @@
 	// the leader needs the other half to find a bad version.
 	staleRolloutAge = 2500 * time.Millisecond
 	// canceledServiceTimes is the number of service times from which an attempt that the entry node has
-	// given up counts as slow.
-	canceledServiceTimes = 3
+	// given up counts as slow, and slowServiceTimes the number that is then counted. Entry nodes send
+	// hedged requests after 1.7 service times, so the full time of a slow attempt is often not seen.
+	canceledServiceTimes = 2
+	slowServiceTimes     = 4
 )
 
 // restrictRelease returns the candidates of the version that gets the request. Without a rollout of the
@@ -101,7 +103,7 @@
 		if took < canceledServiceTimes*req.meta.ServiceTime {
 			return
 		}
-		failed = false
+		took, failed = max(took, slowServiceTimes*req.meta.ServiceTime), false
 	}
 	g.results.Record(rollout.Result{Release: hb.Release, Route: req.meta.Route, Took: took, Failed: failed})
 }
