--- a/controlhost/doc.go
+++ b/controlhost/doc.go
@@ -1,6 +1,6 @@
 // Package controlhost assembles a control host. It runs a replica of the log that holds the
 // configuration document, joins the group of control hosts and replaces lost members while it is
-// the leader, and serves the feed that nodes subscribe to. The program that embeds it provides the
+// the leader, and serves the feed that nodes subscribe to. The leader also decides about rollouts. The program that embeds it provides the
 // interface for operators.
 //
 // # Usage
@@ -28,6 +28,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/document"
 	"github.com/mulberrylink/mulberrylink/coordination/quorum"
 	"github.com/mulberrylink/mulberrylink/coordination/quota"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
 	"github.com/mulberrylink/mulberrylink/protocol/controlplane"
 	"github.com/mulberrylink/mulberrylink/protocol/feed"
@@ -83,7 +84,11 @@
 	// Limits decodes the rate limits of all client accounts from a committed document. It is called once
 	// for each version while this host is the leader. It may be nil.
 	Limits func(*document.State) (map[string]quota.Limit, error)
-	Log    *log.Logger
+	// HasService reports whether a service is configured. Without it, any name is a service.
+	HasService func(s *document.State, service string) bool
+	// Rollout are the limits of rollouts.
+	Rollout rollout.Bounds
+	Log     *log.Logger
 	// Registry receives the gauges of the host. It may be nil.
 	Registry metrics.Registry
 }
@@ -93,6 +98,7 @@
 	cfg         Config
 	nodes       *directory.Directory
 	suspects    *suspect.List
+	reports     *rollout.Board
 	hub         *feed.Hub
 	quotas      *quotaLeader
 	quotaServer *quotas.Server
@@ -130,7 +136,7 @@
 	if cfg.Limits == nil {
 		cfg.Limits = noLimits
 	}
-	h := &Host{cfg: cfg, nodes: directory.New(), suspects: suspect.New(suspect.Config{Clock: systemClock{}})}
+	h := &Host{cfg: cfg, nodes: directory.New(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), reports: rollout.NewBoard()}
 	h.pool = rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout})
 	if err := h.formatDataDir(); err != nil {
 		return nil, err
@@ -139,7 +145,7 @@
 		return nil, err
 	}
 	h.hub = feed.NewHub(feed.HubConfig{
-		Directory: h.nodes, Suspects: h.suspects, State: h.state, ConfirmedState: h.confirmedState, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
+		Directory: h.nodes, Suspects: h.suspects, Reports: h.reports, State: h.state, ConfirmedState: h.confirmedState, HasLeader: h.hasLeader, Hosts: h.memberHosts, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	h.quotas = newQuotaLeader(h)
 	h.quotaServer = quotas.NewServer(h.quotas, rpc.NewPool(rpc.PoolConfig{DialTimeout: dialTimeout, IdlePerAddr: relayConns}))
@@ -241,6 +247,7 @@
 	h.wg.Go(func() { h.maintainGroup(ctx) })
 	h.wg.Go(func() { h.watchStatus(ctx) })
 	h.wg.Go(func() { h.quotas.run(ctx) })
+	h.wg.Go(func() { h.rolloutLoop(ctx) })
 	err = h.rpc.Serve(ctx, lis)
 	h.wg.Wait()
 	return err
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -230,6 +230,7 @@
 	revoke     time.Duration
 	leaseClock lease.Clock
 	noMajority atomic.Bool
+	noLeader   atomic.Bool
 }
 
 // systemClock implements suspect.Clock.
@@ -269,7 +270,7 @@
 		route("read", "/read/", routes.Safe), route("write", "/write/", routes.Unsafe), route("put", "/put/", routes.Upload), longRead, longWrite, longPut,
 	}, []routes.Service{{Name: "archive", HealthPath: "/health"}, {Name: "desk", HealthPath: "/health"}}, routes.Limits{MaxBodyBytes: 64 << 20})
 	hub := feed.NewHub(feed.HubConfig{
-		Directory: directory.New(), Suspects: suspect.New(suspect.Config{Clock: systemClock{}}), State: d.machine.Current, HasLeader: func() bool { return true },
+		Directory: directory.New(), Suspects: suspect.New(suspect.Config{Clock: systemClock{}}), State: d.machine.Current, HasLeader: func() bool { return !d.noLeader.Load() },
 		ConfirmedState: func(context.Context) (*document.State, bool) {
 			state, _ := d.machine.Current()
 			return state, !d.noMajority.Load()
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -19,6 +19,9 @@
 // A node may hold its knowledge of the client accounts under a lease (Config.Revoke): a node that control
 // hosts have not confirmed for too long refuses requests with a key, which may have been revoked.
 //
+// While a rollout of a service runs, the entry node draws for each request whether it goes to the new
+// software version, and the node beside an upstream reports the results (coordination/rollout).
+//
 // # Usage
 //
 //	g := gateway.New(gateway.Config{Name: "node-7", Domain: "d1", …})
@@ -45,6 +48,7 @@
 	"github.com/mulberrylink/mulberrylink/coordination/lease"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
 	"github.com/mulberrylink/mulberrylink/coordination/retry"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/coordination/servicetime"
 	"github.com/mulberrylink/mulberrylink/coordination/suspect"
@@ -197,6 +201,9 @@
 	// WarmupRateScale scales the request rate that cold upstreams receive, and WarmupBurst
 	// is the number of requests beyond it that each of them takes at once.
 	WarmupRateScale, WarmupBurst float64
+	// Rollback is the time after the 50th bad result from which a bad version must get no request. It is
+	// 0 if a rollout has no such limit.
+	Rollback time.Duration
 }
 
 // activeConfig is the configuration in force on the node.
@@ -243,6 +250,8 @@
 	routeShares   routeShares
 	streamed      atomic.Int64 // requests in flight whose body is incomplete for lack of memory
 	shortage      shortageLog
+	results       *rollout.Recorder // of the upstream, by version
+	rolloutSet    chan struct{}     // signals a change of the rollouts
 	outbound      *ingress.Server
 	inbound       *ingress.Server
 }
@@ -255,8 +264,10 @@
 		directory: directory.New(), splitter: routes.NewSplitter(), serviceTimes: servicetime.New(), transferSizes: servicetime.New(),
 		balancer:  placement.New(placement.Config{TransferCostPerKiB: cfg.Tuning.TransferCostPerKiB, CrossDomainRTT: cfg.Tuning.CrossDomainRTT, Domain: cfg.Domain}),
 		admission: capacity.New(time.Now), outcomes: newOutcomeStore(), runs: newRunTable(), suspects: suspect.New(suspect.Config{Clock: systemClock{}}), suspectTurns: newTurnQueue(), returns: newReturnTable(), internalCalls: newInternalCalls(), stats: newStats(cfg.Registry),
+		rolloutSet: make(chan struct{}, 1),
 	}
 	g.lease = newLease(&cfg)
+	g.results = rollout.NewRecorder(cfg.Name, g.epoch)
 	g.retryBudgets = retry.New(retry.Config{
 		Clock: systemClock{}, Registry: cfg.Registry, Reserve: 1, RefillInterval: cfg.Tuning.RetryRefillInterval, MaxTokens: cfg.Tuning.MaxRetryTokens,
 		Percent: func(string) int { return cfg.Tuning.RetryPercent },
@@ -329,6 +340,7 @@
 	go g.upstream.probeLoop(ctx)
 	go g.forgetLoop(ctx)
 	go g.leaseLoop(ctx)
+	go g.reportLoop(ctx)
 	g.upstream.publish()
 	select {
 	case err := <-serveErr:
@@ -363,6 +375,7 @@
 	if old != nil && old.state.Version != s.Version {
 		g.quotas.DropStandby() // they are those of the former limits
 	}
+	g.noteRollouts(old, s)
 	oldVersion := uint64(0)
 	if old != nil {
 		oldVersion = old.state.Version
--- a/protocol/feed/doc.go
+++ b/protocol/feed/doc.go
@@ -1,7 +1,9 @@
 // Package feed distributes node records and the configuration. A node subscribes to the hub of one
 // control host and sends its own record. The hub sends it the records of all other nodes, the
-// committed document, the failure domains that are out of service, the addresses of the control hosts,
-// and the records of crash suspects (coordination/suspect), which nodes also send to the hub. A
+// committed document, the failure domains that are out of service, the rollouts, the addresses of the
+// control hosts, and the records of crash suspects (coordination/suspect), which nodes also send to the
+// hub. During a rollout, nodes send the results of their upstreams (coordination/rollout), which hubs
+// pass on to the control hosts. A
 // subscriber has the records that the hub holds before the first document. Each control host also
 // subscribes to the hubs of all others, so that each knows every node. A hub sends a control host only
 // the records of the nodes that subscribe to this hub. It does not send it the document, which control
@@ -39,6 +41,7 @@
 
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/document"
+	"github.com/mulberrylink/mulberrylink/coordination/rollout"
 )
 
 const (
@@ -65,6 +68,9 @@
 	// batchDelay is the delay after a change of records. Further changes within it are sent in the
 	// same message.
 	batchDelay = 10 * time.Millisecond
+	// reportDelay is the delay after a report of results, so that control hosts are sent those of several
+	// nodes in one message.
+	reportDelay = 30 * time.Millisecond
 )
 
 // Host is a control host. Subscribers prefer control hosts in their own failure domain, because most
@@ -97,6 +103,8 @@
 	Suspects []suspectNotice `cbor:"c,omitempty"`
 	// Probe is a reading of the subscriber's clock that it asks the hub to confirm.
 	Probe int64 `cbor:"lp,omitempty"`
+	// Report holds the results of the node's upstream during a rollout. It is set when it changed.
+	Report *rollout.Report `cbor:"t,omitempty"`
 }
 
 // hubMessage is a message from a hub to a subscriber.
@@ -109,6 +117,8 @@
 	CompressedUpdate []byte   `cbor:"p,omitempty"`
 	DomainsOut       []string `cbor:"o,omitempty"`
 	Revision         uint64   `cbor:"s,omitempty"`
+	// Rollouts are those that have changed since the last revision that the subscriber has.
+	Rollouts []document.Rollout `cbor:"u,omitempty"`
 	// Hosts are the control hosts, and Domain is the failure domain of the sending one. Both are set
 	// if the control hosts are not those that the hub sent last.
 	Hosts  []Host `cbor:"h,omitempty"`
@@ -125,6 +135,9 @@
 	// received a state of this revision, or a newer one, before this message or with it.
 	ConfirmedProbe    int64  `cbor:"lp,omitempty"`
 	ConfirmedRevision uint64 `cbor:"lr,omitempty"`
+	// Reports are the reports that nodes sent to this hub and that changed. Only control hosts are sent
+	// them.
+	Reports []rollout.Report `cbor:"t,omitempty"`
 }
 
 // suspectNotice is the wire format of a suspect.Notice. It carries the remaining time instead of a
