quota: refused requests come back sooner to a new leader

Cause: while the buckets of a new leader filled, each refused request of an account was told to come back half a second after the one before, although tokens come at the rate of the account from then on.

Change: 5 ms between them while the leader is new. Result: TestRefusedRequestsComeBackOneAfterAnother, which failed with the former spacing.

--- a/coordination/quota/cache.go
+++ b/coordination/quota/cache.go
@@ -22,6 +22,9 @@
 	// lostRetry is the RetryAfter while no leader answers. A new one is elected within 1.5 s, and
 	// callers that come back too early are refused at once.
 	lostRetry = 300 * time.Millisecond
+	// startSpacing is the time between the refused requests of an account that come back to a new leader.
+	// The time until its first token says nothing about the time between tokens.
+	startSpacing = 5 * time.Millisecond
 	// maxRetry bounds the RetryAfter of refused requests of one account, which come one after another.
 	maxRetry = 30 * time.Second
 )
@@ -251,6 +254,9 @@
 	if g.RetryAfter > 0 {
 		// An ask that is sent then reaches the leader RetryAfter after this one did.
 		e.refusedUntil, e.spacing, e.starting = at+g.RetryAfter, g.RetryAfter, g.Starting
+		if g.Starting {
+			e.spacing = min(e.spacing, startSpacing)
+		}
 		n := min(max(0, ask.Need-g.Tokens), len(e.waiting))
 		for _, t := range e.waiting[:n] {
 			e.refuse(now, t)
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -115,6 +115,26 @@
 	is.True(!ok)
 }
 
+// Guards against refused requests that are told to come back at the same time, or far too late while a new
+// leader's buckets fill.
+func TestRefusedRequestsComeBackOneAfterAnother(t *testing.T) {
+	is := is.New(t)
+	for _, starting := range []bool{false, true} {
+		c := quota.NewCache()
+		c.Take(0, "a")
+		at, _ := c.Asks(0)
+		c.Settle(1, at, []quota.Grant{{Account: "a", RetryAfter: second / 2, Starting: starting}})
+		last := time.Duration(0)
+		for range 20 {
+			refused := c.Take(2, "a")
+			is.Equal(refused.Verdict == quota.NoQuota, starting)
+			is.True(refused.RetryAfter > last)
+			last = refused.RetryAfter
+		}
+		is.Equal(last < second, starting)
+	}
+}
+
 // Guards against requests that wait for a lost leader, and against a wait that ends unanswered when the
 // stream is replaced.
 func TestLostLeader(t *testing.T) {
