quota: an account that the leader does not know is refused with noquota

Cause: a node with another version of the configuration than the leader told callers that their account was over its quota, which nobody knows then.

Change: Grant.Unsure covers a new leader and an unknown account.

--- a/coordination/quota/allocator.go
+++ b/coordination/quota/allocator.go
@@ -127,7 +127,7 @@
 	limit, known := a.limits[ask.Account]
 	switch {
 	case !known:
-		return Grant{RetryAfter: unknownRetry}
+		return Grant{RetryAfter: unknownRetry, Unsure: true}
 	case limit.Rate <= 0:
 		return Grant{Tokens: ask.Need + ask.Ahead}
 	}
@@ -140,7 +140,7 @@
 	b.takeBack(ask.Returned)
 	g := b.draw(now, node, ask)
 	g.Standby = b.drawStandby(now, a.startedAt, node, ask.Standby)
-	g.Starting = g.RetryAfter > 0 && now-a.startedAt < startingTime
+	g.Unsure = g.RetryAfter > 0 && now-a.startedAt < startingTime
 	return g
 }
 
--- a/coordination/quota/cache.go
+++ b/coordination/quota/cache.go
@@ -88,7 +88,7 @@
 	rateAt       time.Duration
 	askedAt      time.Duration // of the last ask
 	refusedUntil time.Duration
-	starting     bool          // Grant.Starting of the last empty grant
+	unsure       bool          // Grant.Unsure of the last empty grant
 	spacing      time.Duration // RetryAfter of the last empty grant
 	promised     time.Duration // the latest time at which a refused request was told to come back
 	standby      int           // standby tokens
@@ -253,8 +253,8 @@
 	}
 	if g.RetryAfter > 0 {
 		// An ask that is sent then reaches the leader RetryAfter after this one did.
-		e.refusedUntil, e.spacing, e.starting = at+g.RetryAfter, g.RetryAfter, g.Starting
-		if g.Starting {
+		e.refusedUntil, e.spacing, e.unsure = at+g.RetryAfter, g.RetryAfter, g.Unsure
+		if g.Unsure {
 			e.spacing = min(e.spacing, startSpacing)
 		}
 		n := min(max(0, ask.Need-g.Tokens), len(e.waiting))
@@ -399,7 +399,7 @@
 // rate at which the node can expect tokens.
 func (e *entry) refuse(now time.Duration, t *Ticket) {
 	t.Verdict = OverQuota
-	if e.starting {
+	if e.unsure {
 		t.Verdict = NoQuota
 	}
 	e.promised = min(max(e.refusedUntil, e.promised+e.spacing), now+maxRetry)
--- a/coordination/quota/doc.go
+++ b/coordination/quota/doc.go
@@ -86,9 +86,9 @@
 	// RetryAfter is the time until the node can expect another token. It is set if Tokens is less than
 	// the node needs, or if there are no more for now. The node asks for none until then.
 	RetryAfter time.Duration
-	// Starting is true if there are no tokens because the leader is new. The account may be within
-	// its limit.
-	Starting bool
+	// Unsure is true if the account may be within its limit although there are no tokens: the leader is
+	// new, or has another version of the configuration than the node.
+	Unsure bool
 	// Standby is the number of standby tokens that the node may hold from now on.
 	Standby int
 }
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -123,7 +123,7 @@
 		c := quota.NewCache()
 		c.Take(0, "a")
 		at, _ := c.Asks(0)
-		c.Settle(1, at, []quota.Grant{{Account: "a", RetryAfter: second / 2, Starting: starting}})
+		c.Settle(1, at, []quota.Grant{{Account: "a", RetryAfter: second / 2, Unsure: starting}})
 		last := time.Duration(0)
 		for range 20 {
 			refused := c.Take(2, "a")
--- a/protocol/quotas/doc.go
+++ b/protocol/quotas/doc.go
@@ -111,7 +111,7 @@
 	_           struct{} `cbor:",toarray"`
 	Tokens      uint32
 	RetryMicros int64
-	Starting    bool
+	Unsure      bool
 	Standby     uint32
 }
 
@@ -146,7 +146,7 @@
 func encodeGrants(grants []quota.Grant) []wireGrant {
 	out := make([]wireGrant, 0, len(grants))
 	for _, g := range grants {
-		out = append(out, wireGrant{Tokens: encodeCount(g.Tokens), RetryMicros: g.RetryAfter.Microseconds(), Starting: g.Starting, Standby: encodeCount(g.Standby)})
+		out = append(out, wireGrant{Tokens: encodeCount(g.Tokens), RetryMicros: g.RetryAfter.Microseconds(), Unsure: g.Unsure, Standby: encodeCount(g.Standby)})
 	}
 	return out
 }
@@ -154,7 +154,7 @@
 func decodeGrants(grants []wireGrant) []quota.Grant {
 	out := make([]quota.Grant, 0, len(grants))
 	for _, g := range grants {
-		out = append(out, quota.Grant{Tokens: int(g.Tokens), RetryAfter: time.Duration(g.RetryMicros) * time.Microsecond, Starting: g.Starting, Standby: int(g.Standby)})
+		out = append(out, quota.Grant{Tokens: int(g.Tokens), RetryAfter: time.Duration(g.RetryMicros) * time.Microsecond, Unsure: g.Unsure, Standby: int(g.Standby)})
 	}
 	return out
 }
