--- a/coordination/overflow/policy.go
+++ b/coordination/overflow/policy.go
@@ -217,11 +217,19 @@
 // ownEstimate returns the estimate of the own domain from the reports and the work told to this node.
 func (p *Policy) ownEstimate(s *serviceState, now time.Time) Estimate {
 	site := s.domain(p.cfg.Domain).site
-	usable := s.usable(site, now)
-	return Estimate{
-		Domain: p.cfg.Domain, Usable: usable, Used: usable * s.directUse(now),
-		Demand: s.toldWork.rate(now) * float64(site.Upstreams),
+	usable, use := s.usable(site, now), s.directUse(now)
+	e := Estimate{Domain: p.cfg.Domain, Usable: usable, Used: usable * use, Demand: s.toldWork.rate(now) * float64(site.Upstreams)}
+	if e.Demand > e.Used {
+		// A domain that is far from full serves all its callers, so the demand is within the use,
+		// whatever service times the entry nodes expect.
+		e.Demand = e.Used + shortageWeight(use)*(e.Demand-e.Used)
 	}
+	return e
+}
+
+// shortageWeight returns how much the demand counts beyond the measured use of a domain.
+func shortageWeight(use float64) float64 {
+	return min(1, max(0, (use-useOfShortage)/(useOfFullShortage-useOfShortage)))
 }
 
 // usable returns the usable slots of the own domain.
@@ -297,7 +305,7 @@
 	s := p.service(service)
 	home := p.home(s, now)
 	if home.Usable <= 0 {
-		return false
+		return true // the directory does not have the upstream yet
 	}
 	// The probability falls linearly: with a fixed limit, all nodes would turn at the same time.
 	return p.cfg.Random() >= (home.Used/home.Usable-homeTarget)/(1-homeTarget)
@@ -339,8 +347,7 @@
 	if r.home.Usable > 0 {
 		use = r.home.Used / r.home.Usable
 	}
-	counted := min(1, max(0, (use-useOfShortage)/(useOfFullShortage-useOfShortage)))
-	r.shortage = counted * max(0, r.home.Demand-homeTarget*r.home.Usable)
+	r.shortage = shortageWeight(use) * max(0, r.home.Demand-homeTarget*r.home.Usable)
 	others := 0.0
 	for name, d := range s.domains {
 		if name == p.cfg.Domain || !d.said.fresh(now) {
--- a/coordination/overflow/trip.go
+++ b/coordination/overflow/trip.go
@@ -137,7 +137,7 @@
 func (t *Trip) drawDomain(s *serviceState, r *plan, has func(domain string) bool, now time.Time) (string, bool) {
 	names := slices.Sorted(maps.Keys(s.domains))
 	usable := func(name string) bool {
-		return name != t.p.cfg.Domain && !slices.Contains(t.foreign, name) && s.domains[name].site.Upstreams > 0 && has(name)
+		return name != t.p.cfg.Domain && !slices.Contains(t.foreign, name) && has(name)
 	}
 	own := s.work.rate(now) / max(r.home.Demand, 1e-9)
 	// A part of a request is within the limit with that probability: the part of one node may be
