gateway: requests leave their failure domain only for a shortage

Cause: under overload, entry nodes try up to eight upstreams in all domains, because an upstream without a recent report counts as idle.

The hop header has the origin of a request and the estimates by domain in a response, both last and only with the feature on.

--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -102,6 +102,9 @@
 	WarmupRate float64
 	// Local is true for the upstream beside the entry node.
 	Local bool
+	// Use is the expected number of requests per slot without a recent load report, 0 if nothing is
+	// known (package overflow).
+	Use float64
 }
 
 // Request describes a request for which an upstream is chosen.
@@ -114,6 +117,9 @@
 	// SizeKiB is the size of the request and its response. Value is the value of the
 	// response, in units of one response in time.
 	SizeKiB, Value float64
+	// LinkCostPerKiB is the cost of a KiB on the link of the entry node's host, which counts for all
+	// upstreams of other hosts.
+	LinkCostPerKiB float64
 	// Reroutable is true while the node beside the upstream may reject the request
 	// because another upstream is faster.
 	Reroutable bool
@@ -250,7 +256,7 @@
 	if !c.Local {
 		// Within the domain a hop is short; the two nodes still take processing time.
 		networkTime = b.cfg.CrossDomainRTT / 4
-		extraCost = hopCost
+		extraCost = hopCost + req.SizeKiB*req.LinkCostPerKiB/max(req.Value, 0.1)
 	}
 	if c.Domain != b.cfg.Domain {
 		networkTime = b.cfg.CrossDomainRTT
@@ -258,7 +264,7 @@
 	}
 	// Some of the reported requests have ended since, and the requests sent from this
 	// node may be among them, so the larger of the two numbers is used.
-	queued := math.Max(confidence*float64(load.Running+load.Waiting), float64(s.inFlight))
+	queued := math.Max(confidence*float64(load.Running+load.Waiting)+(1-confidence)*c.Use*float64(load.Slots), float64(s.inFlight))
 	rateWait := 0.0
 	if load.Cold && c.WarmupRate > 0 && load.Waiting > 0 {
 		rateWait = confidence * float64(load.Waiting+1) / c.WarmupRate * float64(time.Second)
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -272,3 +272,23 @@
 	is.True(lost < once/1000)
 	is.True(repeatable > 100) // which show whether it is still faulty
 }
+
+// Guards against an upstream without a recent report that counts as idle while its domain is full, and
+// against a request that crosses a full link although the upstream beside the entry node has a slot.
+func TestUseAndLinkCost(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	req := &placement.Request{ServiceTime: 60 * time.Millisecond, Objective: now.Add(90 * time.Millisecond), Deadline: now.Add(time.Second), SizeKiB: 4, Value: 1}
+	b := placement.New(placement.Config{Domain: "d1"})
+	choice, ok := b.Choose(now, req, []placement.Candidate{{Name: "full", Domain: "d1", Slots: 4, Use: 1.5}, {Name: "free", Domain: "d1", Slots: 4, Use: 0.5}})
+	is.True(ok)
+	is.Equal(choice.Name, "free")
+	b = placement.New(placement.Config{Domain: "d1"})
+	b.RecordLoad("local", placement.Load{Running: 4, Waiting: 4, Slots: 4, Slowdown: 1}, now)
+	both := []placement.Candidate{{Name: "local", Domain: "d1", Slots: 4, Local: true}, {Name: "other", Domain: "d1", Slots: 4}}
+	choice, _ = b.Choose(now, req, both)
+	is.Equal(choice.Name, "other")
+	req.LinkCostPerKiB = 0.25
+	choice, _ = b.Choose(now, req, both)
+	is.Equal(choice.Name, "local")
+}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -87,6 +87,9 @@
 		return g.reject(reasonNoService, 0)
 	}
 	g.upstream.refreshLoad(ctx)
+	if !g.overflow.admits(req) {
+		return g.reject(reasonForeign, foreignRetryAfter)
+	}
 	if req.meta.ServiceTimeAssumed {
 		req.meta.ServiceTime = g.serviceTimes.MeanOr(req.meta.Route, req.meta.ServiceTime)
 	}
@@ -242,7 +245,7 @@
 		}
 	}
 	common := g.newResponseMeta()
-	res.meta.Load, res.meta.Integrity, res.meta.Epoch = common.Load, common.Integrity, common.Epoch
+	res.meta.Load, res.meta.Integrity, res.meta.Epoch, res.meta.Domains = common.Load, common.Integrity, common.Epoch, common.Domains
 	return res
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -92,15 +92,16 @@
 		return false
 	}
 	all, nodes := s.candidates()
+	count := len(all)
 	all, ok := s.restrictSuspect(kind, all)
 	if !ok {
 		return false
 	}
 	trial := kind == firstAttempt && s.mayBeTrial()
-	choice, ok := g.balancer.Choose(now, &placement.Request{
+	choice, step, ok := s.choose(now, kind, &placement.Request{
 		ServiceTime: req.serviceTime, Objective: req.objective, Deadline: req.deadline, Exclude: s.excluded, SizeKiB: req.sizeKiB(), Value: req.value(),
 		Reroutable: s.slowerRejections < maxSlowerRejections, Repeatable: req.route.Kind == routes.Safe, Trial: trial,
-	}, all)
+	}, all, len(all) < count)
 	if ok && kind == hedgeAttempt && choice.Reserved && now.Before(s.lastHedgeAt()) {
 		s.hedgeHeld = true
 		return false
@@ -112,7 +113,7 @@
 	if choice.PassedOver != "" {
 		g.stats.count("passed_over_reserve")
 	}
-	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, start: now, hedge: kind == hedgeAttempt, trial: trial}
+	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, step: step, start: now, hedge: kind == hedgeAttempt, trial: trial}
 	ctx, cancel := context.WithCancel(s.ctx)
 	a.cancel = cancel
 	s.running = append(s.running, a)
@@ -123,6 +124,7 @@
 			s.runLocal(ctx, a, meta)
 		} else {
 			s.sendToPeer(ctx, a, meta)
+			g.overflow.transferred(req, a)
 		}
 		// This runs even when nobody waits for the result any more.
 		g.balancer.RequestEnded(choice.Name)
@@ -244,6 +246,7 @@
 			}
 			if interim, err := hop.ParseResponseMeta(text); err == nil {
 				g.balancer.RecordLoad(a.node.Name, interim.Load, time.Now())
+				g.overflow.recordResponse(req.service, &a.node, &interim, time.Now())
 				epoch = interim.Epoch
 			}
 		},
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -221,6 +221,8 @@
 	table   *routes.Table
 	// memoryBytes is the memory of the nodes that are started from now on, 0 for the default.
 	memoryBytes int64
+	// linkMbps is the speed of the links of the nodes that are started from now on, 0 if not known.
+	linkMbps float64
 }
 
 // systemClock implements suspect.Clock.
@@ -356,7 +358,7 @@
 		Service: u.service, UpstreamAddr: u.addr, Headers: testHeaders{}, GracePeriod: 6 * time.Second,
 		DecodeTable: func(*document.State) (*routes.Table, error) { return d.table, nil },
 		Tuning:      gateway.Tuning{CrossDomainRTT: 4 * time.Millisecond, TransferCostPerKiB: 0.02, RetryPercent: 50, RetryRefillInterval: time.Second, MaxRetryTokens: 3, WarmupRateScale: 1, NonIdempotentValue: 2},
-		Log:         discardLogger(), Registry: n.registry, MemoryBytes: d.memoryBytes,
+		Log:         discardLogger(), Registry: n.registry, MemoryBytes: d.memoryBytes, LinkMbps: d.linkMbps,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -158,9 +158,12 @@
 	// MemoryBytes is the memory that the host allows the process. All buffers together get a part
 	// of it (state/memory). With 0, memory.DefaultProcessBytes applies.
 	MemoryBytes int64
-	Tuning      Tuning
-	Log         *log.Logger
-	Registry    metrics.Registry
+	// LinkMbps is the speed of the host's link in Mbit/s, 0 if it is not known. Below slowLinkMbps,
+	// coordination/overflow limits what leaves the failure domain.
+	LinkMbps float64
+	Tuning   Tuning
+	Log      *log.Logger
+	Registry metrics.Registry
 }
 
 // Tuning holds the parameters of placement, retries and warm-up.
@@ -211,6 +214,7 @@
 	exchangeSeq   atomic.Uint64
 	splitter      *routes.Splitter
 	balancer      *placement.Balancer
+	overflow      *overflowControl // nil if the link is fast or not known
 	serviceTimes  *servicetime.Estimator
 	transferSizes *servicetime.Estimator // response size by route; one second stands for one KiB
 	admission     *capacity.Controller
@@ -266,6 +270,7 @@
 		Directory: g.directory, Suspects: g.suspects, OnState: g.applyState, NodeName: cfg.Name, Domain: cfg.Domain, Log: cfg.Log,
 	})
 	g.upstream = newUpstream(g)
+	g.overflow = newOverflowControl(g)
 	g.outbound = ingress.New(ingress.Config{Addr: cfg.OutboundAddr, Handler: g.serveCaller, MaxConns: budget.callers, OnExhausted: g.freeDescriptors, Memory: g.memory, Log: cfg.Log})
 	g.inbound = ingress.New(ingress.Config{Addr: cfg.InboundAddr, Handler: g.servePeer, MaxConns: budget.inbound, OnExhausted: g.freeDescriptors, Memory: g.memory, Log: cfg.Log})
 	return g
@@ -309,6 +314,7 @@
 	go g.feed.Run(ctx)
 	go g.upstream.probeLoop(ctx)
 	go g.forgetLoop(ctx)
+	go g.overflow.run(ctx)
 	g.upstream.publish()
 	select {
 	case err := <-serveErr:
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/mulberrylink/mulberrylink"
 	"github.com/mulberrylink/mulberrylink/coordination/accounts"
+	"github.com/mulberrylink/mulberrylink/coordination/overflow"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/protocol/hop"
@@ -162,6 +163,7 @@
 	node   mulberrylink.Node
 	local  bool
 	choice placement.Choice
+	step   overflow.Step
 	hedge  bool
 	trial  bool // may test whether an upstream in reserve is well-formed again
 	start  time.Time
@@ -191,6 +193,8 @@
 	hedged            bool
 	hedgeHeld         bool // the hedged request waits for lastHedgeAt, because its upstream is in reserve
 	hedgeTimer        *time.Timer
+	trip              *overflow.Trip // nil without overflowControl
+	awayRetryAfter    time.Duration  // of other failure domains
 }
 
 // serve starts attempts until the caller has a response.
@@ -204,6 +208,7 @@
 	if q.g.upstream.current().Service == q.service {
 		q.g.upstream.refreshLoad(ctx) // placement compares the other upstreams with this one
 	}
+	s.trip = q.g.overflow.begin(q)
 	defer s.cancelAll()
 	if !s.startAttempt(firstAttempt) {
 		s.respondFailure()
@@ -274,7 +279,7 @@
 	s.recordAttempt(a, now)
 	switch {
 	case res.meta.RejectReason != "":
-		s.rejectReason, s.retryAfter = res.meta.RejectReason, earliestRetryAfter(s.retryAfter, res.meta.RetryAfter)
+		s.recordRejection(a)
 		s.attempts--
 		switch res.meta.RejectReason {
 		case reasonSlower, reasonReserved:
@@ -354,6 +359,7 @@
 		g.peerEpochs.set(a.node.Name, res.meta.Epoch)
 	}
 	g.mergeSuspicion(s.req.fingerprint, res.meta.Suspicion)
+	g.overflow.recordAttempt(s, a, now)
 	if res.meta.Epoch != "" {
 		g.balancer.RecordLoad(a.node.Name, res.meta.Load, now)
 		g.balancer.RecordIntegrity(a.node.Name, decodeIntegrity(res.meta.Integrity, now), now)
@@ -392,6 +398,7 @@
 		Service:    req.service, Route: req.route.Name, Kind: req.route.Kind, CallerService: req.g.upstream.current().Service,
 		Priority: req.priority(), Account: req.accountName(), Objective: req.objective.Sub(now), Timeout: req.deadline.Sub(now), ServiceTime: req.serviceTime, ServiceTimeAssumed: req.serviceTimeAssumed,
 		Fingerprint: req.fingerprint, Suspicion: req.g.suspicion(req.fingerprint), Integrity: encodeIntegrity(req.g.balancer.Integrity(a.node.Name), now),
+		Origin: req.g.overflow.origin(req.service, a),
 	}
 	if s.slowerRejections < maxSlowerRejections {
 		meta.AlternativeCost, meta.Trial = a.choice.AlternativeCost, a.trial
--- a/gateway/inbound.go
+++ b/gateway/inbound.go
@@ -83,6 +83,7 @@
 		}
 		g.outcomes.finish(rec, resp, res.meta.Encode(), time.Now())
 	}
+	g.overflow.admitted(r.ContentLength, &res)
 	g.respondToPeer(w, &res)
 }
 
--- a/gateway/integrity.go
+++ b/gateway/integrity.go
@@ -28,7 +28,7 @@
 
 // newResponseMeta returns the metadata that all responses to other nodes have.
 func (g *Gateway) newResponseMeta() hop.ResponseMeta {
-	return hop.ResponseMeta{Load: g.admission.Load(), Integrity: encodeIntegrity(g.admission.Integrity(), time.Now()), Epoch: g.epoch}
+	return hop.ResponseMeta{Load: g.admission.Load(), Integrity: encodeIntegrity(g.admission.Integrity(), time.Now()), Epoch: g.epoch, Domains: g.overflow.domains()}
 }
 
 // mergeIntegrity adds what an entry node knows of the upstream beside this node. A process that has
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -25,6 +25,9 @@
 		g.writeError(s.w, req.httpReq, req, http.StatusBadGateway, mulberrylink.Unknown, mulberrylink.ReasonLost.String(), 0)
 	default:
 		retryAfter := s.retryAfter
+		if retryAfter == 0 {
+			retryAfter = s.awayRetryAfter
+		}
 		if retryAfter == 0 {
 			retryAfter = defaultRetryAfter
 		}
--- a/protocol/hop/hop.go
+++ b/protocol/hop/hop.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mulberrylink/mulberrylink/coordination/overflow"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 )
@@ -63,6 +64,8 @@
 	Integrity Integrity
 	// Account is the name of the client account, empty without one. It is sent in the encoding of a URL query.
 	Account string
+	// Origin is what an entry node that limits the requests between failure domains tells of its own.
+	Origin Origin
 }
 
 // Integrity is the estimate of package integrity for an upstream. The zero value is that of
@@ -98,11 +101,11 @@
 	return strconv.FormatUint(uint64(s.Stage), 10) + "," + formatMillis(s.Remaining)
 }
 
-// requestFields is the number of fields of a request. The integrity and the account follow them, up to
-// the last one that there is.
+// requestFields is the number of fields of a request. The integrity, the account and the origin follow
+// them, up to the last one that there is.
 const (
 	requestFields    = 10
-	maxRequestFields = requestFields + 2
+	maxRequestFields = requestFields + 3
 )
 
 // assumedMark follows a service time that is assumed instead of observed.
@@ -119,15 +122,19 @@
 		formatMillis(m.Objective) + "," + formatMillis(m.Timeout), serviceTime,
 		m.encodeAlternative(), encodeFingerprint(m.Fingerprint, m.Suspicion),
 	}
+	hasOrigin := m.Origin.Domain != ""
 	switch {
 	case m.Integrity != (Integrity{}):
 		fields = append(fields, m.Integrity.encode())
-	case m.Account != "":
+	case m.Account != "" || hasOrigin:
 		fields = append(fields, "")
 	}
-	if m.Account != "" {
+	if m.Account != "" || hasOrigin {
 		fields = append(fields, url.QueryEscape(m.Account))
 	}
+	if hasOrigin {
+		fields = append(fields, m.Origin.encode())
+	}
 	return strings.Join(fields, ";")
 }
 
@@ -190,6 +197,9 @@
 	if len(fields) > requestFields+1 {
 		meta.Account = p.text(fields[requestFields+1])
 	}
+	if len(fields) > requestFields+2 {
+		meta.Origin = p.origin(fields[requestFields+2])
+	}
 	return meta, errors.Wrap(p.err, "parse hop header of a request")
 }
 
@@ -214,6 +224,9 @@
 	Suspicion Suspicion
 	// Integrity is what the admitting node knows of its upstream.
 	Integrity Integrity
+	// Domains is what the admitting node knows of its service by failure domain, its own one first. It is
+	// empty if the node does not limit the requests between domains.
+	Domains []overflow.Estimate
 }
 
 // Encode returns the header value of a response.
@@ -224,23 +237,30 @@
 		strconv.Itoa(encodeFlags(m.Load.Cold, m.NotRun, m.ExchangeFailed)), formatMillis(m.ServiceTime), m.RejectReason, formatMillis(m.RetryAfter), m.Epoch,
 	}
 	hasIntegrity := m.Integrity != (Integrity{})
-	if m.Load.RateWait > 0 || m.Suspicion.Remaining > 0 || hasIntegrity {
+	hasDomains := len(m.Domains) > 0
+	if m.Load.RateWait > 0 || m.Suspicion.Remaining > 0 || hasIntegrity || hasDomains {
 		fields = append(fields, formatMillis(m.Load.RateWait))
 	}
-	if m.Suspicion.Remaining > 0 || hasIntegrity {
+	if m.Suspicion.Remaining > 0 || hasIntegrity || hasDomains {
 		fields = append(fields, m.Suspicion.encode())
 	}
-	if hasIntegrity {
+	switch {
+	case hasIntegrity:
 		fields = append(fields, m.Integrity.encode())
+	case hasDomains:
+		fields = append(fields, "")
+	}
+	if hasDomains {
+		fields = append(fields, encodeDomains(m.Domains))
 	}
 	return strings.Join(fields, ";")
 }
 
-// responseFields is the number of fields of a response. The rate wait, the suspicion and the
-// integrity follow them, up to the last one that there is.
+// responseFields is the number of fields of a response. The rate wait, the suspicion, the integrity and
+// the domains follow them, up to the last one that there is.
 const (
 	responseFields    = 8
-	maxResponseFields = responseFields + 3
+	maxResponseFields = responseFields + 4
 )
 
 // ParseResponseMeta parses the header value of a response.
@@ -269,9 +289,12 @@
 	if len(fields) > responseFields+1 {
 		meta.Suspicion = p.suspicion(fields[responseFields+1])
 	}
-	if len(fields) > responseFields+2 {
+	if len(fields) > responseFields+2 && fields[responseFields+2] != "" {
 		meta.Integrity = p.integrity(fields[responseFields+2])
 	}
+	if len(fields) > responseFields+3 {
+		meta.Domains = p.domains(fields[responseFields+3])
+	}
 	return meta, errors.Wrap(p.err, "parse hop header of a response")
 }
 
--- a/protocol/hop/hop_test.go
+++ b/protocol/hop/hop_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mulberrylink/mulberrylink/coordination/overflow"
 	"github.com/mulberrylink/mulberrylink/coordination/placement"
 	"github.com/mulberrylink/mulberrylink/coordination/routes"
 	"github.com/mulberrylink/mulberrylink/protocol/hop"
@@ -41,6 +42,15 @@
 	gotRequest, err = hop.ParseRequestMeta(request.Encode())
 	is.NoErr(err)
 	is.Equal(gotRequest, request)
+	request.Origin = hop.Origin{Domain: "d;1,|", Work: 16500 * time.Microsecond}
+	gotRequest, err = hop.ParseRequestMeta(request.Encode())
+	is.NoErr(err)
+	is.Equal(gotRequest, request)
+	request.Account, request.Origin.Home = "", overflow.Estimate{Domain: "d;1,|", Demand: 41.5, Usable: 48, Used: 39.25}
+	gotRequest, err = hop.ParseRequestMeta(request.Encode())
+	is.NoErr(err)
+	request.Origin.Home.Used = 39.2 // one decimal is sent
+	is.Equal(gotRequest, request)
 	response := hop.ResponseMeta{
 		Load:         placement.Load{Running: 3, Waiting: 2, Slots: 6, Slowdown: 7, FailureRate: 0.5, Cold: true},
 		RejectReason: "slower", RetryAfter: 30 * time.Millisecond, ServiceTime: 60 * time.Millisecond, NotRun: true, ExchangeFailed: true, Epoch: "5f",
@@ -64,6 +74,14 @@
 	gotResponse, err = hop.ParseResponseMeta(response.Encode())
 	is.NoErr(err)
 	is.Equal(gotResponse, response)
+	response.Domains = []overflow.Estimate{{Domain: "d,1", Demand: 10, Usable: 12, Used: 11.5}, {Domain: "d2", Usable: 36, Age: 420 * time.Millisecond}}
+	gotResponse, err = hop.ParseResponseMeta(response.Encode())
+	is.NoErr(err)
+	is.Equal(gotResponse, response)
+	response.Integrity, response.Load.RateWait = hop.Integrity{}, 0
+	gotResponse, err = hop.ParseResponseMeta(response.Encode())
+	is.NoErr(err)
+	is.Equal(gotResponse, response)
 }
 
 // Guards against a malformed header that is accepted: a value that parses must parse again
@@ -71,6 +89,8 @@
 func FuzzParse(f *testing.F) {
 	f.Add(hop.RequestMeta{ExchangeID: "a"}.Encode())
 	f.Add(hop.ResponseMeta{Epoch: "x"}.Encode())
+	f.Add(hop.RequestMeta{Origin: hop.Origin{Domain: "d", Home: overflow.Estimate{Domain: "d", Demand: 1}}}.Encode())
+	f.Add(hop.ResponseMeta{Domains: []overflow.Estimate{{Domain: "d", Used: 1}, {Domain: "e"}}}.Encode())
 	f.Add(";;;;;;;;")
 	f.Fuzz(func(t *testing.T, text string) {
 		if m, err := hop.ParseRequestMeta(text); err == nil && len(text) > 0 {
