docs, overflow: note on requests that leave their failure domain

Cause: the decision and its messages were not described.

Such statements are ignored, and others are passed on only while the own domain is busy. A request that another domain cannot answer before its deadline stays at home. The bytes of a suspect, whose node is fixed, have their own reason.

--- a/coordination/overflow/policy.go
+++ b/coordination/overflow/policy.go
@@ -197,12 +197,16 @@
 
 // State returns what an admitting node tells others: the estimate of its own domain, from what it has seen
 // itself, and the fresh statements of other domains. A statement about the own domain is not passed on,
-// so that no figure returns to its source.
+// so that no figure returns to its source. Those of others are passed on only while the own domain is busy:
+// nobody needs them otherwise, and each takes 25 bytes.
 func (p *Policy) State(service string, now time.Time) []Estimate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.service(service)
 	list := []Estimate{p.ownEstimate(s, now)}
+	if s.directUse(now) < useOfShortage {
+		return list
+	}
 	for name, d := range s.domains {
 		if name != p.cfg.Domain && d.said.fresh(now) {
 			e := d.said.Estimate
--- a/coordination/overflow/reason_string.go
+++ b/coordination/overflow/reason_string.go
@@ -13,11 +13,12 @@
 	_ = x[Hedge-2]
 	_ = x[Retry-3]
 	_ = x[Reserve-4]
+	_ = x[Suspect-5]
 }
 
-const _Reason_name = "shortagenoupstreamhedgeretryreserve"
+const _Reason_name = "shortagenoupstreamhedgeretryreservesuspect"
 
-var _Reason_index = [...]uint8{0, 8, 18, 23, 28, 35}
+var _Reason_index = [...]uint8{0, 8, 18, 23, 28, 35, 42}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/coordination/overflow/trip.go
+++ b/coordination/overflow/trip.go
@@ -22,6 +22,8 @@
 	Retry // retry
 	// Reserve means that all upstreams of the domain are in reserve (package integrity), and others not.
 	Reserve // reserve
+	// Suspect means that the request may run on one node only (package suspect).
+	Suspect // suspect
 )
 
 const (
--- a/coordination/placement/doc.go
+++ b/coordination/placement/doc.go
@@ -5,7 +5,8 @@
 //
 // For each candidate, a Balancer estimates when the request would finish there and the
 // probability that this is too late. A load report is weighted with the probability that it
-// still holds; the rest of the weight goes to the usual mix of quiet and disturbed hosts.
+// still holds; the rest of the weight goes to the usual mix of quiet and disturbed hosts, with the
+// requests that run in its domain on average if they are known (package overflow).
 // The cost of a candidate adds to this its recent failure rate, a charge for the bytes that
 // leave the failure domain, penalties while the upstream is cold and shortly after it rejected
 // a request or was unreachable, and small terms that break ties. For a request that may run only
--- a/gateway/overflow.go
+++ b/gateway/overflow.go
@@ -24,7 +24,7 @@
 	// counted after each change of the directory, but only once in minSitesInterval: a domain that
 	// returns changes many records.
 	overflowInterval = 200 * time.Millisecond
-	minSitesInterval = 10 * time.Millisecond
+	minSitesInterval = 50 * time.Millisecond
 	// exchangeHeaderBytes is the typical size of the headers of a request and its response.
 	exchangeHeaderBytes = 920
 	// minLoggedShare is the share of requests from which a log line says that requests leave the domain.
@@ -197,10 +197,11 @@
 	o := g.overflow
 	if o == nil || fixed {
 		choice, ok := g.balancer.Choose(now, preq, all)
-		return choice, overflow.Step{}, ok
+		return choice, overflow.Step{Reason: overflow.Suspect}, ok
 	}
+	inTime := !now.Add(g.cfg.Tuning.CrossDomainRTT + s.req.serviceTime).After(s.req.deadline)
 	has := func(domain string) bool {
-		return slices.ContainsFunc(all, func(c placement.Candidate) bool { return c.Domain == domain && !s.excluded[c.Name] })
+		return (inTime || domain == g.cfg.Domain) && slices.ContainsFunc(all, func(c placement.Candidate) bool { return c.Domain == domain && !s.excluded[c.Name] })
 	}
 	step, ok := s.trip.Next(kind.overflowReason(), has, now)
 	if !ok {
@@ -250,8 +251,8 @@
 	return origin
 }
 
-// recordAttempt records what the response of another node tells, and whether the request was rejected
-// there. lacksCapacity is true if it was, and not because another upstream is better.
+// recordAttempt records what the response to an attempt tells, and whether the upstream had no room. A
+// rejection because another upstream is better does not count.
 func (o *overflowControl) recordAttempt(s *requestState, a *attempt, now time.Time) {
 	if o == nil {
 		return
@@ -270,8 +271,8 @@
 
 // recordResponse records the load and the estimates in a response or an interim response of a node.
 func (o *overflowControl) recordResponse(service string, n *mulberrylink.Node, meta *hop.ResponseMeta, now time.Time) {
-	if o == nil {
-		return
+	if o == nil || meta.RejectReason == reasonNoService {
+		return // what the node states is about another service
 	}
 	if n.Domain == o.g.cfg.Domain {
 		o.recordLoad(service, meta.Load, n.Slots, now)
@@ -290,7 +291,11 @@
 	if o == nil {
 		return nil
 	}
-	return o.policy.State(o.g.upstream.current().Service, time.Now())
+	service := o.g.upstream.current().Service
+	if service == "" {
+		return nil
+	}
+	return o.policy.State(service, time.Now())
 }
 
 // admits records what an entry node tells with a request, and decides whether a request from another domain
