--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,15 +96,16 @@
 	}
 	all, nodes := s.candidates()
 	all = s.restrictRelease(all, nodes)
+	count := len(all)
 	all, ok := s.restrictSuspect(kind, all)
 	if !ok {
 		return false
 	}
 	trial := kind == firstAttempt && s.mayBeTrial()
-	choice, ok := g.balancer.Choose(now, &placement.Request{
+	choice, step, ok := s.choose(now, kind, &placement.Request{
 		ServiceTime: req.serviceTime, Objective: req.objective, Deadline: req.deadline, Exclude: s.excluded, SizeKiB: req.sizeKiB(), Value: req.value(),
 		Reroutable: s.slowerRejections < maxSlowerRejections, Repeatable: req.route.Kind == routes.Safe, Trial: trial,
-	}, all)
+	}, all, len(all) < count)
 	if ok && kind == hedgeAttempt && choice.Reserved && now.Before(s.lastHedgeAt()) {
 		s.hedgeHeld = true
 		return false
@@ -116,7 +117,7 @@
 	if choice.PassedOver != "" {
 		g.stats.count("passed_over_reserve")
 	}
-	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, start: now, token: req.useToken(), hedge: kind == hedgeAttempt, trial: trial}
+	a := &attempt{node: nodes[choice.Name], local: choice.Name == g.cfg.Name, choice: choice, step: step, start: now, token: req.useToken(), hedge: kind == hedgeAttempt, trial: trial}
 	ctx, cancel := context.WithCancel(s.ctx)
 	a.cancel = cancel
 	s.running = append(s.running, a)
@@ -127,6 +128,7 @@
 			s.runLocal(ctx, a, meta)
 		} else {
 			s.sendToPeer(ctx, a, meta)
+			g.overflow.transferred(req, a)
 		}
 		// This runs even when nobody waits for the result any more.
 		g.balancer.RequestEnded(choice.Name)
@@ -248,6 +250,7 @@
 			}
 			if interim, err := hop.ParseResponseMeta(text); err == nil {
 				g.balancer.RecordLoad(a.node.Name, interim.Load, time.Now())
+				g.overflow.recordResponse(req.service, &a.node, &interim, time.Now())
 				epoch = interim.Epoch
 			}
 		},
--- a/gateway/deployment_test.go
+++ b/gateway/deployment_test.go
@@ -230,7 +230,9 @@
 	revoke     time.Duration
 	leaseClock lease.Clock
 	noMajority atomic.Bool
-	noLeader   atomic.Bool
+	// linkMbps is the speed of the links of the nodes that are started from now on, 0 if not known.
+	linkMbps float64
+	noLeader atomic.Bool
 }
 
 // systemClock implements suspect.Clock.
@@ -380,7 +382,7 @@
 		Service: u.service, UpstreamAddr: u.addr, Headers: testHeaders{}, GracePeriod: 6 * time.Second,
 		DecodeTable: d.decodeTable, Revoke: d.revoke, LeaseClock: d.leaseClock,
 		Tuning: gateway.Tuning{CrossDomainRTT: 4 * time.Millisecond, TransferCostPerKiB: 0.02, RetryPercent: 50, RetryRefillInterval: time.Second, MaxRetryTokens: 3, WarmupRateScale: 1, NonIdempotentValue: 2},
-		Log:    discardLogger(), Registry: n.registry, MemoryBytes: d.memoryBytes,
+		Log:    discardLogger(), Registry: n.registry, MemoryBytes: d.memoryBytes, LinkMbps: d.linkMbps,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -173,9 +173,12 @@
 	Revoke time.Duration
 	// LeaseClock measures Revoke, boottime.Clock if it is nil.
 	LeaseClock lease.Clock
-	Tuning     Tuning
-	Log        *log.Logger
-	Registry   metrics.Registry
+	// LinkMbps is the speed of the host's link in Mbit/s, 0 if it is not known. Below slowLinkMbps,
+	// coordination/overflow limits what leaves the failure domain.
+	LinkMbps float64
+	Tuning   Tuning
+	Log      *log.Logger
+	Registry metrics.Registry
 }
 
 // Tuning holds the parameters of placement, retries and warm-up.
@@ -231,6 +234,7 @@
 	exchangeSeq   atomic.Uint64
 	splitter      *routes.Splitter
 	balancer      *placement.Balancer
+	overflow      *overflowControl // nil if the link is fast or not known
 	serviceTimes  *servicetime.Estimator
 	transferSizes *servicetime.Estimator // response size by route; one second stands for one KiB
 	admission     *capacity.Controller
@@ -294,6 +298,7 @@
 	})
 	g.quotas = g.newQuotaClient()
 	g.upstream = newUpstream(g)
+	g.overflow = newOverflowControl(g)
 	g.outbound = ingress.New(ingress.Config{Addr: cfg.OutboundAddr, Handler: g.serveCaller, MaxConns: budget.callers, OnExhausted: g.freeDescriptors, Memory: g.memory, Log: cfg.Log})
 	g.inbound = ingress.New(ingress.Config{Addr: cfg.InboundAddr, Handler: g.servePeer, MaxConns: budget.inbound, OnExhausted: g.freeDescriptors, Memory: g.memory, Log: cfg.Log})
 	return g
@@ -340,6 +345,7 @@
 	go g.upstream.probeLoop(ctx)
 	go g.forgetLoop(ctx)
 	go g.leaseLoop(ctx)
+	go g.overflow.run(ctx)
 	go g.reportLoop(ctx)
 	g.upstream.publish()
 	select {
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -27,6 +27,9 @@
 		req.writeDenial(s.w, s.denial)
 	default:
 		retryAfter := s.retryAfter
+		if retryAfter == 0 {
+			retryAfter = s.awayRetryAfter
+		}
 		if retryAfter == 0 {
 			retryAfter = defaultRetryAfter
 		}
