--- a/coordination/overflow/policy_test.go
+++ b/coordination/overflow/policy_test.go
@@ -160,3 +160,17 @@
 	is.True(p.Use("desk", "c", now.Add(time.Second)) > 0.7)
 	is.Equal(p.Use("desk", "c", now.Add(10*time.Second)), 0.0)
 }
+
+// Guards against single requests that go to a busy domain for the sake of a faster upstream, and against a
+// domain that is never tried because nothing is known of it.
+func TestRoomOfADomain(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	is.True(newPolicy(now, 1).HasRoom("desk", "b", now))
+	is.True(newPolicy(now, -1).HasRoom("desk", "b", now)) // unknown
+	for _, busy := range []overflow.Estimate{{Domain: "b", Usable: 40, Used: 29}, {Domain: "b", Usable: 40, Demand: 29}, {Domain: "b"}} {
+		p := newPolicy(now, -1)
+		p.Merge("desk", []overflow.Estimate{busy}, now)
+		is.True(!p.HasRoom("desk", "b", now))
+	}
+}
