--- a/coordination/rollout/compare.go
+++ b/coordination/rollout/compare.go
@@ -1,10 +1,14 @@
 package rollout
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 const (
 	// slowBuckets is the number of buckets above the median of the old version from which a service time
-	// is slow: slowRatio is at least 2. Slow versions take several times as long, and the spread within
+	// is slow, at least twice the median. Slow versions take several times as long, and the spread within
 	// one version counts on both sides.
 	slowBuckets = 3
 	// priorResults is the weight of the share of bad results since the start, in results.
@@ -25,13 +29,14 @@
 	verdictDeviations = 3.5
 	verdictOffset     = 2
 	overdispersion    = 2
-	// soloExcess and soloDeviations apply without the upstream that contributes most.
+	// soloExcess and soloDeviations apply without the quarter of the upstreams that contributes most.
 	soloExcess     = 3
 	soloDeviations = 2.5
-	// suspectExcess and suspectDeviations are the excess from which the ramp waits.
-	suspectExcess     = 3
-	suspectDeviations = 1.5
-	// finalExcess, finalDeviations and their values without the upstream that contributes most apply when
+	// suspectExcess, suspectDeviations and their values without these upstreams are the
+	// excess from which the ramp waits.
+	suspectExcess, suspectDeviations         = 3, 1.5
+	suspectSoloExcess, suspectSoloDeviations = 0.9, 0.7
+	// finalExcess, finalDeviations and their values without these upstreams apply when
 	// there is no more time to wait.
 	finalExcess, finalDeviations         = 3, 3
 	finalSoloExcess, finalSoloDeviations = 1.3, 2
@@ -350,22 +355,33 @@
 	return result
 }
 
+// withoutWorst returns the sum of the evidence without the quarter of the nodes with the highest excess,
+// rounded up. A bad version is bad on all of its upstreams.
+func withoutWorst(byNode map[string]evidence) (sum evidence) {
+	all := make([]evidence, 0, len(byNode))
+	for _, e := range byNode {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b evidence) int { return cmp.Compare(b.excess, a.excess) })
+	for _, e := range all[(len(all)+3)/4:] {
+		sum.add(e)
+	}
+	return sum
+}
+
 func judgeNodes(byNode map[string]evidence) verdict {
-	all, worst := sumNodes(byNode)
-	v := verdict{evidence: all, suspect: all.exceeds(suspectExcess, suspectDeviations)}
+	all, _ := sumNodes(byNode)
+	v := verdict{evidence: all}
+	others := withoutWorst(byNode)
+	alone := len(byNode) == 1
+	v.suspect = all.exceeds(suspectExcess, suspectDeviations) && (alone || others.exceeds(suspectSoloExcess, suspectSoloDeviations))
 	if all.excess < minRise*float64(all.results) {
 		return v
 	}
-	if len(byNode) == 1 {
-		v.bad = all.significant() && all.excess >= 2*minExcess // one host may be at fault
+	if alone {
+		v.bad = all.significant() && all.excess >= 2*minExcess // the host may be at fault
 		return v
 	}
-	var others evidence
-	for node, e := range byNode {
-		if node != worst {
-			others.add(e)
-		}
-	}
 	v.bad = all.significant() && others.exceeds(soloExcess, soloDeviations)
 	v.likely = all.exceeds(finalExcess, finalDeviations) && others.exceeds(finalSoloExcess, finalSoloDeviations)
 	return v
--- a/coordination/rollout/doc.go
+++ b/coordination/rollout/doc.go
@@ -15,11 +15,11 @@
 //
 // # Comparison
 //
-// A result is bad if it is a failure, or if it took at least slowRatio times the median of the old
-// version on that route. For each route, the share of bad results of the old version over the same time
+// A result is bad if it is a failure, or if it is slowBuckets above the median of the old version
+// on that route. For each route, the share of bad results of the old version over the same time
 // gives the number that is expected of the new version. The new version is bad if the excess over that
-// number is significant, both on all of its upstreams and without any one of them: one slow or crashing
-// host is no fault of the version. The comparison is made over the time since this leader has had
+// number is significant, both on all of its upstreams and without the worst quarter of them: slow or
+// crashing hosts are no fault of the version. The comparison is made over the time since this leader has had
 // results and over the last recentWindow, for all routes together and for each one.
 //
 // # Usage
--- a/coordination/rollout/draw.go
+++ b/coordination/rollout/draw.go
@@ -1,10 +1,11 @@
 package rollout
 
 import (
-	"hash/fnv"
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberrylink/mulberrylink/coordination/document"
 )
 
@@ -116,9 +117,7 @@
 			oldSlots += u.Slots
 		case !u.Cold:
 			newSlots += u.Slots
-			hash := fnv.New64a()
-			_, _ = hash.Write([]byte(u.Name))
-			warm = append(warm, ranked{hash.Sum64(), u})
+			warm = append(warm, ranked{xxhash.Sum64String(u.Name), u})
 		}
 	}
 	slices.SortFunc(warm, func(a, b ranked) int {
