--- a/cmd/mulberryctl/explain.go
+++ b/cmd/mulberryctl/explain.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"net/url"
 	"slices"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -15,7 +19,7 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "explain a reason, an outcome or a key of the configuration",
+		Usage:     "explain a reason, an outcome, a key of the configuration, or where a request would go now",
 		ArgsUsage: "[WORD]",
 		ArgValidator: func(_ context.Context, cmd *cli.Command) error {
 			if cmd.Args().Len() > 1 {
@@ -23,14 +27,49 @@
 			}
 			return nil
 		},
-		Description: "Without an argument, prints all explanations.\n\n" +
-			"Examples:\n  mulberryctl explain domainout\n  mulberryctl explain notrun\n  mulberryctl explain keyttl",
-		Action: func(_ context.Context, cmd *cli.Command) error {
+		Description: "Without an argument, prints all explanations. With --node, asks a node of the platform at its metrics " +
+			"address where a request would go and why, without sending it.\n\n" +
+			"Examples:\n  mulberryctl explain domainout\n  mulberryctl explain notrun\n  mulberryctl explain keyttl\n" +
+			"  mulberryctl explain --node 127.0.0.1:7395 --host shop.example --path /orders/7 --account north",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "node", Usage: "metrics address of the entry `NODE`"},
+			&cli.StringFlag{Name: "host", Usage: "`HOST` of the request"},
+			&cli.StringFlag{Name: "path", Usage: "`PATH` of the request", Value: "/"},
+			&cli.StringFlag{Name: "account", Usage: "`NAME` of the client account whose key the request shows"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if node := cmd.String("node"); node != "" {
+				return explainRequest(ctx, cmd, node)
+			}
 			return explain(cmd, cmd.Args().First())
 		},
 	}
 }
 
+// explainTimeout bounds the question to a node, which answers from its memory.
+const explainTimeout = 3 * time.Second
+
+// explainRequest prints what a node answers about a request that is not sent.
+func explainRequest(ctx context.Context, cmd *cli.Command, node string) error {
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	query := url.Values{"host": {cmd.String("host")}, "path": {cmd.String("path")}, "account": {cmd.String("account")}}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/explain?"+query.Encode(), nil)
+	if err != nil {
+		return &exitError{code: exitUsage, text: err.Error()}
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return &exitError{code: exitUnavailable, text: err.Error()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return &exitError{code: exitUnavailable, text: "the node answers " + resp.Status}
+	}
+	_, err = io.Copy(cmd.Root().Writer, resp.Body)
+	return err
+}
+
 func explain(cmd *cli.Command, word string) error {
 	found := false
 	var known []string
--- a/coordination/placement/balancer.go
+++ b/coordination/placement/balancer.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -224,6 +226,21 @@
 	return best, true
 }
 
+// Rank returns the estimates for all candidates, the one with the lowest cost first. Unlike Choose it
+// changes nothing.
+func (b *Balancer) Rank(now time.Time, req *Request, candidates []Candidate) []Choice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]Choice, 0, len(candidates))
+	for i := range candidates {
+		e := b.evaluate(now, req, &candidates[i])
+		e.Reserved = e.state.integrity.Reserved(now)
+		list = append(list, e.Choice)
+	}
+	slices.SortFunc(list, func(a, b Choice) int { return cmp.Compare(a.Cost, b.Cost) })
+	return list
+}
+
 // cheapestTwo returns the indexes of the two candidates with the lowest costs; the second one is -1
 // when there is only one.
 func cheapestTwo(list []evaluation) (first, second int) {
