--- a/coordination/overflow/policy.go
+++ b/coordination/overflow/policy.go
@@ -312,13 +312,13 @@
 func (p *Policy) AdmitsForeign(service string, waiting int, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if waiting > 0 {
+		return false
+	}
 	s := p.service(service)
 	home := p.home(s, now)
-	switch {
-	case home.Usable <= 0:
+	if home.Usable <= 0 {
 		return true // the directory does not have the upstream yet
-	case waiting > 0 && home.Used/home.Usable >= homeTarget-reserve:
-		return false
 	}
 	// The probability falls linearly: with a fixed limit, all nodes would turn at the same time.
 	return p.cfg.Random() >= (home.Used/home.Usable-homeTarget)/(1-homeTarget)
--- a/gateway/overflow.go
+++ b/gateway/overflow.go
@@ -298,7 +298,9 @@
 	case reason == "":
 		s.trip.Answered(a.node.Domain, now)
 	case reason != reasonSlower && reason != reasonReserved && reason != reasonSuspect:
-		s.trip.Rejected(a.node.Domain, reason == reasonForeign, now)
+		// A request may wait beside one upstream, on a disturbed host, while its domain has room.
+		short := reason == reasonForeign && !o.policy.HasRoom(s.req.service, a.node.Domain, now)
+		s.trip.Rejected(a.node.Domain, short, now)
 	}
 }
 
@@ -389,7 +391,7 @@
 // counts only while the own domain has stated nothing: the caller comes back to this entry node.
 func (s *requestState) recordRejection(a *attempt) {
 	meta := &a.res.meta
-	if a.step.Out && meta.RejectReason == reasonForeign {
+	if a.step.Out && meta.RejectReason == reasonForeign && !s.req.g.overflow.policy.HasRoom(s.req.service, a.node.Domain, time.Now()) {
 		s.closedDomains = append(s.closedDomains, a.node.Domain)
 	}
 	if a.step.Out && !endsRequest(meta.RejectReason) {
