--- a/gateway/overflow.go
+++ b/gateway/overflow.go
@@ -207,7 +207,7 @@
 	}
 	step, ok := s.trip.Next(kind.overflowReason(), has, now)
 	open := s.openDomains(now, all)
-	if !ok && len(open) == 0 && len(s.closedDomains) < maxClosedDomains {
+	if !ok && len(s.closedDomains) < maxClosedDomains {
 		// A request is not refused because all domains look busy: their estimates lag, and single upstreams
 		// may have room.
 		open = s.otherDomains(all)
