--- a/coordination/quota/allocator.go
+++ b/coordination/quota/allocator.go
@@ -27,9 +27,9 @@
 	// sharedCapacity is the size of a bucket from which its tokens are shared. The demand for a smaller
 	// one cannot be measured well enough in rateMemory, and a part of it is no whole token.
 	sharedCapacity = 8
-	// drainTime is the time within which the credits of a hot account approach the tokens in its bucket.
-	// With 200 ms about twice as many tokens stay in the bucket, and with 1 s half as many more refusals
-	// come only after an ask (model, 60 nodes, rate 124/s, demand ten times as high).
+	// drainTime is the time within which the credits of a hot account approach the tokens in its bucket. A
+	// shorter one leaves tokens in the bucket that callers could use. With a longer one nodes have too
+	// little credit to know at once which requests to refuse.
 	drainTime = 500 * time.Millisecond
 	// askRatio is the ratio of requests that are asked for to the rate of a hot account whose tokens are
 	// not shared. The nodes refuse the others without an ask. Each token finds a taker soon.
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -57,57 +57,22 @@
 // serveCaller handles a request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	active := g.awaitLease(g.awaitConfig(r, now), r, now)
-	if active == nil {
-		g.writeError(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonNoConfig, max(defaultRetryAfter, g.startedAt.Add(typicalConfigDelay).Sub(now)))
-		return
-	}
-	if r.Context().Err() != nil {
-		panic(http.ErrAbortHandler) // nobody reads a response
-	}
-	route := active.table.Match(r.Host, r.RequestURI)
-	if route == nil {
-		g.writeError(w, r, nil, http.StatusNotFound, mulberrylink.NotRun, mulberrylink.ReasonNoRoute.String(), 0)
-		return
-	}
-	if limit := active.table.Limits.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
-		g.writeError(w, r, nil, http.StatusRequestEntityTooLarge, mulberrylink.NotRun, mulberrylink.ReasonTooLarge.String(), 0)
+	req := g.acceptHead(w, r, now)
+	if req == nil {
 		return
 	}
-	account, known := g.authenticate(active.table, route, r)
-	if g.needsLease(active.table, route, r) && !g.lease.Valid() {
-		g.writeError(w, r, nil, http.StatusServiceUnavailable, mulberrylink.NotRun, mulberrylink.ReasonLeaseEnded.String(), g.leaseRetryAfter())
-		return
-	}
-	if !known {
-		g.writeError(w, r, nil, http.StatusUnauthorized, mulberrylink.NotRun, mulberrylink.ReasonUnknownKey.String(), 0)
-		return
-	}
-	req := g.newRequest(active, route, account, r, now)
 	defer req.end()
 	req.internal = g.isInternalCall(req)
 	if now := time.Now(); !req.finishesBeforeExit(now) {
 		g.writeError(w, r, req, http.StatusServiceUnavailable, mulberrylink.NotRun, reasonLeaving, g.retryAfterShutdown(now))
 		return
 	}
-	if !req.mem.Acquire(memory.Requests, requestBytes, memory.RequestLevel(route.Priority)) {
+	if !req.mem.Acquire(memory.Requests, requestBytes, memory.RequestLevel(req.route.Priority)) {
 		g.refuseForMemory(w, req)
 		return
 	}
 	if err := g.receiveBody(w, req); err != nil {
-		var tooLarge *http.MaxBytesError
-		switch {
-		case r.Context().Err() != nil:
-			panic(http.ErrAbortHandler) // nobody reads a response
-		case errors.Is(err, errNoMemory):
-			g.refuseForMemory(w, req)
-		case errors.As(err, &tooLarge):
-			g.writeError(w, r, req, http.StatusRequestEntityTooLarge, mulberrylink.NotRun, mulberrylink.ReasonTooLarge.String(), 0)
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			g.writeError(w, r, req, http.StatusRequestTimeout, mulberrylink.NotRun, mulberrylink.ReasonDeadline.String(), 0)
-		default:
-			g.writeError(w, r, req, http.StatusBadRequest, mulberrylink.NotRun, mulberrylink.ReasonBadRequest.String(), 0)
-		}
+		g.refuseBody(w, req, err)
 		return
 	}
 	req.bodyReadAt = time.Now()
@@ -127,6 +92,55 @@
 	req.serve(w)
 }
 
+// acceptHead returns the request of a caller whose head may be served. Otherwise it refuses the request and
+// returns nil.
+func (g *Gateway) acceptHead(w http.ResponseWriter, r *http.Request, now time.Time) *request {
+	refuse := func(status int, reason string, retryAfter time.Duration) *request {
+		g.writeError(w, r, nil, status, mulberrylink.NotRun, reason, retryAfter)
+		return nil
+	}
+	active := g.awaitLease(g.awaitConfig(r, now), r, now)
+	if active == nil {
+		return refuse(http.StatusServiceUnavailable, reasonNoConfig, max(defaultRetryAfter, g.startedAt.Add(typicalConfigDelay).Sub(now)))
+	}
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler) // nobody reads a response
+	}
+	route := active.table.Match(r.Host, r.RequestURI)
+	if route == nil {
+		return refuse(http.StatusNotFound, mulberrylink.ReasonNoRoute.String(), 0)
+	}
+	if limit := active.table.Limits.MaxBodyBytes; limit > 0 && r.ContentLength > limit {
+		return refuse(http.StatusRequestEntityTooLarge, mulberrylink.ReasonTooLarge.String(), 0)
+	}
+	account, known := g.authenticate(active.table, route, r)
+	switch {
+	case g.needsLease(active.table, route, r) && !g.lease.Valid():
+		return refuse(http.StatusServiceUnavailable, mulberrylink.ReasonLeaseEnded.String(), g.leaseRetryAfter())
+	case !known:
+		return refuse(http.StatusUnauthorized, mulberrylink.ReasonUnknownKey.String(), 0)
+	}
+	return g.newRequest(active, route, account, r, now)
+}
+
+// refuseBody refuses a request whose body could not be received.
+func (g *Gateway) refuseBody(w http.ResponseWriter, req *request, err error) {
+	r := req.httpReq
+	var tooLarge *http.MaxBytesError
+	switch {
+	case r.Context().Err() != nil:
+		panic(http.ErrAbortHandler) // nobody reads a response
+	case errors.Is(err, errNoMemory):
+		g.refuseForMemory(w, req)
+	case errors.As(err, &tooLarge):
+		g.writeError(w, r, req, http.StatusRequestEntityTooLarge, mulberrylink.NotRun, mulberrylink.ReasonTooLarge.String(), 0)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		g.writeError(w, r, req, http.StatusRequestTimeout, mulberrylink.NotRun, mulberrylink.ReasonDeadline.String(), 0)
+	default:
+		g.writeError(w, r, req, http.StatusBadRequest, mulberrylink.NotRun, mulberrylink.ReasonBadRequest.String(), 0)
+	}
+}
+
 // authenticate returns the client account whose key the caller shows, nil without one. The second
 // result is false if the route needs a known key and the caller shows none.
 func (g *Gateway) authenticate(table *routes.Table, route *routes.Route, r *http.Request) (*accounts.Account, bool) {
