--- a/coordination/overflow/doc.go
+++ b/coordination/overflow/doc.go
@@ -22,9 +22,9 @@
 //
 //	p := overflow.New(overflow.Config{Domain: "d1", LinkBytesPerSecond: 500_000})
 //	p.SetSites("archive", sites, now)
-//	trip := p.Begin("archive", overflow.Request{Work: serviceTime, SizeKiB: 3, Value: 1}, now)
-//	step, ok := trip.Next(overflow.Shortage, hasUpstream, now)
+//	routing := p.Begin("archive", overflow.Request{Work: serviceTime, SizeKiB: 3, Value: 1}, now)
+//	step, ok := routing.Next(overflow.Shortage, hasUpstream, now)
 //	// send the request to an upstream of step.Domain, with p.TakeWork in its metadata
-//	trip.Rejected(step.Domain, now) // or trip.Answered(step.Domain, now)
+//	routing.Rejected(step.Domain, now) // or routing.Answered(step.Domain, now)
 //	p.Merge("archive", sender, estimates, now)
 package overflow
--- a/coordination/overflow/model_test.go
+++ b/coordination/overflow/model_test.go
@@ -277,9 +277,9 @@
 	res := result{domain: n.domain.name, start: begin.Sub(m.start)}
 	objective, deadline := begin.Add(k.objective), begin.Add(k.deadline)
 	excluded, slower := map[string]bool{}, 0
-	var trip *overflow.Trip
+	var routing *overflow.Routing
 	if n.policy != nil {
-		trip = n.policy.Begin(k.service, overflow.Request{Work: k.expected, SizeKiB: headersKiB + bodyKiB + responseKiB, Value: k.value}, begin)
+		routing = n.policy.Begin(k.service, overflow.Request{Work: k.expected, SizeKiB: headersKiB + bodyKiB + responseKiB, Value: k.value}, begin)
 	}
 	for res.tries < maxPlacements && time.Now().Before(deadline) {
 		now := time.Now()
@@ -301,7 +301,7 @@
 			Reroutable: slower < maxSlowerRejections, Repeatable: k.repeatable, Exclude: excluded,
 		}
 		step := overflow.Step{Domain: n.domain.name}
-		if trip != nil {
+		if routing != nil {
 			has := func(domain string) bool {
 				for _, c := range all {
 					if c.Domain == domain && !excluded[c.Name] {
@@ -311,7 +311,7 @@
 				return false
 			}
 			var ok bool
-			if step, ok = trip.Next(overflow.Shortage, has, now); !ok {
+			if step, ok = routing.Next(overflow.Shortage, has, now); !ok {
 				break
 			}
 			req.LinkCostPerKiB = n.policy.LinkCostPerKiB(now)
@@ -338,8 +338,8 @@
 		n.balancer.RequestEnded(choice.Name)
 		now = time.Now()
 		if reason == "" {
-			if trip != nil {
-				trip.Answered(peer.domain.name, now)
+			if routing != nil {
+				routing.Answered(peer.domain.name, now)
 			}
 			res.answered, res.inTime = true, !now.After(objective)
 			res.out = peer.domain != n.domain
@@ -350,8 +350,8 @@
 		} else {
 			excluded[choice.Name] = true
 			n.balancer.RecordRejection(choice.Name, now)
-			if trip != nil {
-				trip.Rejected(peer.domain.name, reason == "foreign", now)
+			if routing != nil {
+				routing.Rejected(peer.domain.name, reason == "foreign", now)
 			}
 		}
 	}
--- a/coordination/overflow/policy.go
+++ b/coordination/overflow/policy.go
@@ -31,10 +31,10 @@
 	rejectionTrust = 0.1
 	answerTrust    = 0.02
 	trustRecovery  = 3 * time.Second
-	// maxAsks and askInterval limit the requests that a node sends to a domain of which it knows nothing:
+	// maxProbes and probeInterval limit the requests that a node sends to a domain of which it knows nothing:
 	// enough for a burst until the first response, and few while all domains are short.
-	maxAsks     = 4
-	askInterval = 4 * time.Second
+	maxProbes     = 4
+	probeInterval = 4 * time.Second
 )
 
 // Config holds the settings of a Policy.
@@ -67,12 +67,12 @@
 
 // domainState is what a node knows of a service in one domain.
 type domainState struct {
-	site    Site
-	said    statement
-	trust   float64
-	trustAt time.Time
-	asks    float64
-	asksAt  time.Time
+	site     Site
+	stated   statement
+	trust    float64
+	trustAt  time.Time
+	probes   float64
+	probesAt time.Time
 }
 
 // serviceState is what a node knows of a service.
@@ -81,11 +81,11 @@
 	// Of the callers of this node: the work of all requests, their number, the work not yet told to an
 	// admitting node, that of requests rejected by the own domain, and that sent out of the domain.
 	work, count, rejected, sent decayingSum
-	untold                      time.Duration
+	unreported                  time.Duration
 	// Of the upstreams of the own domain: sums over the load reports.
 	busy, capacity, slots decayingSum
-	// toldWork is the work that entry nodes of the own domain told the upstream beside this node.
-	toldWork decayingSum
+	// reportedWork is the work that entry nodes of the own domain told the upstream beside this node.
+	reportedWork decayingSum
 
 	share   float64
 	shareAt time.Time
@@ -120,7 +120,7 @@
 func (s *serviceState) domain(name string) *domainState {
 	d := s.domains[name]
 	if d == nil {
-		d = &domainState{trust: 1, asks: maxAsks}
+		d = &domainState{trust: 1, probes: maxProbes}
 		s.domains[name] = d
 	}
 	return d
@@ -166,8 +166,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.service(service)
-	work := s.untold
-	s.untold = 0
+	work := s.unreported
+	s.unreported = 0
 	return work
 }
 
@@ -176,7 +176,7 @@
 func (p *Policy) RecordWork(service string, work time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.service(service).toldWork.add(work.Seconds(), now)
+	p.service(service).reportedWork.add(work.Seconds(), now)
 }
 
 // Merge records the statements of a node: the first one is about its own domain, the others were
@@ -191,7 +191,7 @@
 			continue // the nodes of the domain know better
 		}
 		age := minStaleAge + time.Duration(p.cfg.Random()*float64(maxStaleAge-minStaleAge))
-		s.domain(e.Domain).said.merge(e, passedOn, now, age)
+		s.domain(e.Domain).stated.merge(e, passedOn, now, age)
 	}
 }
 
@@ -208,9 +208,9 @@
 		return list
 	}
 	for name, d := range s.domains {
-		if name != p.cfg.Domain && d.said.fresh(now) {
-			e := d.said.Estimate
-			e.Age = now.Sub(d.said.at)
+		if name != p.cfg.Domain && d.stated.fresh(now) {
+			e := d.stated.Estimate
+			e.Age = now.Sub(d.stated.at)
 			list = append(list, e)
 		}
 	}
@@ -222,7 +222,7 @@
 func (p *Policy) ownEstimate(s *serviceState, now time.Time) Estimate {
 	site := s.domain(p.cfg.Domain).site
 	usable, use := s.usable(site, now), s.directUse(now)
-	e := Estimate{Domain: p.cfg.Domain, Usable: usable, Used: usable * use, Demand: s.toldWork.rate(now) * float64(site.Upstreams)}
+	e := Estimate{Domain: p.cfg.Domain, Usable: usable, Used: usable * use, Demand: s.reportedWork.rate(now) * float64(site.Upstreams)}
 	if e.Demand > e.Used {
 		// A domain that is far from full serves all its callers, so the demand is within the use,
 		// whatever service times the entry nodes expect.
@@ -269,8 +269,8 @@
 	s := p.service(service)
 	d := s.domain(domain)
 	switch {
-	case d.said.fresh(now) && d.said.Usable > 0:
-		return d.said.Used / d.said.Usable
+	case d.stated.fresh(now) && d.stated.Usable > 0:
+		return d.stated.Used / d.stated.Usable
 	case domain == p.cfg.Domain:
 		return s.directUse(now)
 	}
@@ -283,7 +283,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := p.service(service).domain(domain)
-	return !d.said.fresh(now) || d.said.Usable > 0 && max(d.said.Used, d.said.Demand)/d.said.Usable < homeTarget-reserve
+	return !d.stated.fresh(now) || d.stated.Usable > 0 && max(d.stated.Used, d.stated.Demand)/d.stated.Usable < homeTarget-reserve
 }
 
 // Transferred records bytes that the node exchanged with another host.
@@ -329,10 +329,10 @@
 func (p *Policy) home(s *serviceState, now time.Time) Estimate {
 	d := s.domain(p.cfg.Domain)
 	e := p.ownEstimate(s, now)
-	if d.said.fresh(now) {
-		e.Demand, e.Used = d.said.Demand, min(d.said.Used, 2*e.Usable)
+	if d.stated.fresh(now) {
+		e.Demand, e.Used = d.stated.Demand, min(d.stated.Used, 2*e.Usable)
 		if d.site.Upstreams > 0 {
-			e.Usable = min(d.said.Usable, d.site.Slots+d.site.ColdRate*s.meanWork(now))
+			e.Usable = min(d.stated.Usable, d.site.Slots+d.site.ColdRate*s.meanWork(now))
 		}
 	}
 	if d.site.Upstreams == 0 {
@@ -363,15 +363,15 @@
 	r.shortage = shortageWeight(use) * max(0, r.home.Demand-homeTarget*r.home.Usable)
 	others := 0.0
 	for name, d := range s.domains {
-		if name == p.cfg.Domain || !d.said.fresh(now) {
+		if name == p.cfg.Domain || !d.stated.fresh(now) {
 			continue
 		}
-		usable := d.said.Usable
+		usable := d.stated.Usable
 		if d.site.Upstreams == 0 {
 			usable = 0
 		}
-		others += max(0, d.said.Demand-homeTarget*usable)
-		if room := ((homeTarget-reserve)*usable - d.said.Demand) * d.currentTrust(now); room > 0 {
+		others += max(0, d.stated.Demand-homeTarget*usable)
+		if room := ((homeTarget-reserve)*usable - d.stated.Demand) * d.currentTrust(now); room > 0 {
 			r.rooms[name] = room
 			r.room += room
 		}
@@ -396,16 +396,16 @@
 	d.trust, d.trustAt = t+weight*(target-t), now
 }
 
-// takeAsk reports whether a request may go to a domain of which nothing is known.
-func (d *domainState) takeAsk(now time.Time) bool {
-	if !d.asksAt.IsZero() {
-		d.asks = min(maxAsks, d.asks+float64(now.Sub(d.asksAt))/float64(askInterval))
+// takeProbe reports whether a request may go to a domain of which nothing is known.
+func (d *domainState) takeProbe(now time.Time) bool {
+	if !d.probesAt.IsZero() {
+		d.probes = min(maxProbes, d.probes+float64(now.Sub(d.probesAt))/float64(probeInterval))
 	}
-	d.asksAt = now
-	if d.asks < 1 {
+	d.probesAt = now
+	if d.probes < 1 {
 		return false
 	}
-	d.asks--
+	d.probes--
 	return true
 }
 
--- a/coordination/overflow/policy_test.go
+++ b/coordination/overflow/policy_test.go
@@ -29,9 +29,9 @@
 // leavers returns how many of n requests that the own domain rejects leave it.
 func leavers(p *overflow.Policy, n int, now time.Time) (left int) {
 	for range n {
-		trip := p.Begin("desk", overflow.Request{Work: 100 * time.Millisecond, SizeKiB: 4, Value: 1}, now)
+		routing := p.Begin("desk", overflow.Request{Work: 100 * time.Millisecond, SizeKiB: 4, Value: 1}, now)
 		for range maxPlacements {
-			step, ok := trip.Next(overflow.Shortage, everywhere, now)
+			step, ok := routing.Next(overflow.Shortage, everywhere, now)
 			if !ok {
 				break
 			}
@@ -39,7 +39,7 @@
 				left++
 				break
 			}
-			trip.Rejected("a", false, now)
+			routing.Rejected("a", false, now)
 		}
 	}
 	return left
@@ -75,21 +75,21 @@
 	is := is.New(t)
 	now := time.Now()
 	p := newPolicy(now, 5)
-	trip := p.Begin("desk", overflow.Request{Work: 100 * time.Millisecond, SizeKiB: 4, Value: 1}, now)
+	routing := p.Begin("desk", overflow.Request{Work: 100 * time.Millisecond, SizeKiB: 4, Value: 1}, now)
 	var tried []string
 	for range maxPlacements {
-		step, ok := trip.Next(overflow.Shortage, everywhere, now)
+		step, ok := routing.Next(overflow.Shortage, everywhere, now)
 		if !ok {
 			break
 		}
 		if step.Out {
 			tried = append(tried, step.Domain)
 		}
-		trip.Rejected(step.Domain, step.Out, now)
+		routing.Rejected(step.Domain, step.Out, now)
 	}
 	is.Equal(len(tried), 2)
 	is.True(tried[0] != tried[1])
-	step, ok := trip.Next(overflow.Shortage, everywhere, now)
+	step, ok := routing.Next(overflow.Shortage, everywhere, now)
 	is.True(ok) // the demand of the own domain is low
 	is.Equal(step.Domain, "a")
 }
@@ -103,10 +103,10 @@
 			now := time.Now()
 			for _, room := range []float64{5, 0} {
 				p := newPolicy(now, room)
-				trip := p.Begin("desk", overflow.Request{Work: 100 * time.Millisecond, SizeKiB: 4, Value: 1}, now)
-				step, ok := trip.Next(reason, everywhere, now)
+				routing := p.Begin("desk", overflow.Request{Work: 100 * time.Millisecond, SizeKiB: 4, Value: 1}, now)
+				step, ok := routing.Next(reason, everywhere, now)
 				is.True(ok && !step.Out)
-				step, ok = trip.Next(reason, func(domain string) bool { return domain != "a" }, now)
+				step, ok = routing.Next(reason, func(domain string) bool { return domain != "a" }, now)
 				is.Equal(ok, room > 0)
 				is.Equal(step.Out, room > 0)
 			}
--- a/coordination/overflow/trip.go
+++ b/coordination/overflow/routing.go
@@ -47,8 +47,8 @@
 	SizeKiB, Value float64
 }
 
-// Trip is the progress of one request. It is not safe for concurrent use.
-type Trip struct {
+// Routing is the progress of one request. It is not safe for concurrent use.
+type Routing struct {
 	p          *Policy
 	service    string
 	req        Request
@@ -69,21 +69,21 @@
 }
 
 // Begin counts a request of a caller, and draws whether it leaves the domain.
-func (p *Policy) Begin(service string, req Request, now time.Time) *Trip {
+func (p *Policy) Begin(service string, req Request, now time.Time) *Routing {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.service(service)
 	s.work.add(req.Work.Seconds(), now)
 	s.count.add(1, now)
-	s.untold += req.Work
+	s.unreported += req.Work
 	r := p.plan(s, 0, now)
 	s.updateShare(&r, now)
-	return &Trip{p: p, service: service, req: req, drawn: p.cfg.Random() < s.share}
+	return &Routing{p: p, service: service, req: req, drawn: p.cfg.Random() < s.share}
 }
 
 // Next returns the domain for the next attempt. has reports whether a domain has an upstream that was not
 // tried yet. ok is false if the request has to be refused.
-func (t *Trip) Next(reason Reason, has func(domain string) bool, now time.Time) (step Step, ok bool) {
+func (t *Routing) Next(reason Reason, has func(domain string) bool, now time.Time) (step Step, ok bool) {
 	p := t.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -116,7 +116,7 @@
 }
 
 // leave chooses another domain if the request may leave.
-func (t *Trip) leave(s *serviceState, r *plan, reason Reason, has func(domain string) bool, now time.Time) (Step, bool) {
+func (t *Routing) leave(s *serviceState, r *plan, reason Reason, has func(domain string) bool, now time.Time) (Step, bool) {
 	if len(t.foreign) >= foreignDomains || !t.affordable(now) {
 		return Step{}, false
 	}
@@ -133,13 +133,13 @@
 }
 
 // affordable reports whether the link has room for the request.
-func (t *Trip) affordable(now time.Time) bool {
+func (t *Routing) affordable(now time.Time) bool {
 	return t.p.link.costPerKiB(now)*t.req.SizeKiB < max(t.req.Value, 0.1)
 }
 
 // drawDomain draws a domain in proportion to its room, if the work that this node has sent out is within
 // its part of the room. Without known room, a domain of which nothing is known may be asked.
-func (t *Trip) drawDomain(s *serviceState, r *plan, has func(domain string) bool, now time.Time) (string, bool) {
+func (t *Routing) drawDomain(s *serviceState, r *plan, has func(domain string) bool, now time.Time) (string, bool) {
 	names := slices.Sorted(maps.Keys(s.domains))
 	usable := func(name string) bool {
 		return name != t.p.cfg.Domain && !slices.Contains(t.foreign, name) && has(name)
@@ -168,7 +168,7 @@
 	}
 	for i := range names {
 		name := names[(start+i)%len(names)]
-		if usable(name) && !s.domains[name].said.fresh(now) && s.domains[name].takeAsk(now) {
+		if usable(name) && !s.domains[name].stated.fresh(now) && s.domains[name].takeProbe(now) {
 			return name, true
 		}
 	}
@@ -177,7 +177,7 @@
 
 // Rejected records that an upstream of a domain rejected the request for lack of capacity. The domain
 // is not tried again if domainShort is true.
-func (t *Trip) Rejected(domain string, domainShort bool, now time.Time) {
+func (t *Routing) Rejected(domain string, domainShort bool, now time.Time) {
 	p := t.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -194,7 +194,7 @@
 }
 
 // Answered records that an upstream of a domain ran the request.
-func (t *Trip) Answered(domain string, now time.Time) {
+func (t *Routing) Answered(domain string, now time.Time) {
 	p := t.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -228,10 +228,10 @@
 	hedged            bool
 	hedgeHeld         bool // the hedged request waits for lastHedgeAt, because its upstream is in reserve
 	hedgeTimer        *time.Timer
-	trip              *overflow.Trip // nil without overflowControl
-	awayRetryAfter    time.Duration  // of other failure domains
-	closedDomains     []string       // other failure domains that have rejected the request
-	releaseDraw       float64        // decides which version gets the request while a rollout runs
+	routing           *overflow.Routing // nil without overflowControl
+	awayRetryAfter    time.Duration     // of other failure domains
+	closedDomains     []string          // other failure domains that have rejected the request
+	releaseDraw       float64           // decides which version gets the request while a rollout runs
 }
 
 // serve starts attempts until the caller has a response.
@@ -246,7 +246,7 @@
 	if q.g.upstream.current().Service == q.service {
 		q.g.upstream.refreshLoad(ctx) // placement compares the other upstreams with this one
 	}
-	s.trip = q.g.overflow.begin(q)
+	s.routing = q.g.overflow.begin(q)
 	defer s.cancelAll()
 	if !s.startAttempt(firstAttempt) {
 		s.respondFailure()
--- a/gateway/overflow.go
+++ b/gateway/overflow.go
@@ -169,7 +169,7 @@
 }
 
 // begin counts a request of a caller and draws whether it leaves the domain.
-func (o *overflowControl) begin(q *request) *overflow.Trip {
+func (o *overflowControl) begin(q *request) *overflow.Routing {
 	if o == nil {
 		return nil
 	}
@@ -205,7 +205,7 @@
 	has := func(domain string) bool {
 		return (inTime || domain == g.cfg.Domain) && slices.ContainsFunc(all, func(c placement.Candidate) bool { return c.Domain == domain && !s.excluded[c.Name] })
 	}
-	step, ok := s.trip.Next(kind.overflowReason(), has, now)
+	step, ok := s.routing.Next(kind.overflowReason(), has, now)
 	open := s.openDomains(now, all)
 	if !ok && len(s.closedDomains) < maxClosedDomains {
 		// A request is not refused because all domains look busy: their estimates lag, and single upstreams
@@ -296,11 +296,11 @@
 	}
 	switch reason := res.meta.RejectReason; {
 	case reason == "":
-		s.trip.Answered(a.node.Domain, now)
+		s.routing.Answered(a.node.Domain, now)
 	case reason != reasonSlower && reason != reasonReserved && reason != reasonSuspect:
 		// A request may wait beside one upstream, on a disturbed host, while its domain has room.
 		short := reason == reasonForeign && !o.policy.HasRoom(s.req.service, a.node.Domain, now)
-		s.trip.Rejected(a.node.Domain, short, now)
+		s.routing.Rejected(a.node.Domain, short, now)
 	}
 }
 
